--- a/src/coordination/coordination_types.h
+++ b/src/coordination/coordination_types.h
@@ -11,6 +11,7 @@
 #include "base/key_value.h"
 #include "base/result_codes.h"
 #include "configuration/configuration.h"
+#include "dispatch/dispatch_types.h"
 
 namespace monsoonshelf::coordination {
 
@@ -45,6 +46,8 @@
   int free_slots_ = 0;
   int queued_ = 0;
   int ready_targets_ = 0;
+  // Sent when a phase changes and to a member that is new, not with every message.
+  std::vector<dispatch::TargetKnowledge> targets_;
 };
 
 // Peer messages. An ack answers a ping with the same number.
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -48,6 +48,13 @@
   std::uint64_t epoch_ = 0;                  // Changes at each start of the target.
 };
 
+// What a host knows about a target of a shard that it may have to dispatch later.
+struct TargetKnowledge {
+  std::string name_;
+  TargetPhase phase_ = TargetPhase::kCold;
+  std::uint64_t epoch_ = 0;
+};
+
 // How one send to a target ended.
 enum class SendResult {
   kAnswered,     // Whole answer with a status below 500.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -65,6 +65,10 @@
                           Random& random);
 void OnRemoteShard(Dispatcher& dispatcher, const RemoteShard& remote, Time now);
 
+// Phases learned from an earlier dispatcher of the shard. Own observations go first.
+void OnTargetKnowledge(Dispatcher& dispatcher, const std::vector<TargetKnowledge>& targets,
+                       Time now);
+
 // Call at NextTick() or later: deadlines of queued calls, probes, lapses.
 Actions OnTick(Dispatcher& dispatcher, Time now, Random& random);
 Time NextTick(const Dispatcher& dispatcher, Time now);
@@ -73,6 +77,7 @@
 struct TargetSummary {
   std::string name_;
   TargetPhase phase_ = TargetPhase::kCold;
+  std::uint64_t epoch_ = 0;
   int in_flight_ = 0;
   int limit_ = 0;
 };
