control: declare the control task, its view and its settings

Other modules read the state of coordination through an immutable view that the control task publishes.

--- /dev/null
+++ b/src/control/control_setup.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/control_task.h"
+#include "coordination/node.h"
+#include "peer/peer_types.h"
+#include "platform/platform_types.h"
+
+namespace monsoonshelf::control {
+
+struct ControlSettings {
+  // The incarnation 0 is replaced by the wall clock at the start, in microseconds.
+  coordination::NodeSettings node_;
+  platform::ClientSettings platform_;
+  std::vector<peer::Key> keys_;    // The first one signs; all are accepted.
+  std::uint64_t random_seed_ = 0;  // 0: taken from the system.
+};
+
+// Starts control with libsoup and nng. Error: kPeerSocket, kSettingsInvalidValue.
+Result<std::unique_ptr<ControlTask>> StartControl(ControlSettings settings,
+                                                  ControlCallbacks callbacks);
+
+}  // namespace monsoonshelf::control
--- /dev/null
+++ b/src/control/control_task.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "base/result.h"
+#include "control/control_types.h"
+#include "peer/ipeer_transport.h"
+#include "platform/iplatform_client.h"
+
+namespace monsoonshelf::control {
+
+// Makes the clients on the control thread, with its main context as the thread default.
+struct ControlFactories {
+  std::function<std::unique_ptr<platform::IPlatformClient>()> platform_client_;
+  std::function<std::unique_ptr<peer::IPeerTransport>()> peer_transport_;
+  // Adds the counters of the two clients to a cost. May be empty.
+  std::function<void(platform::IPlatformClient&, peer::IPeerTransport&, ControlCost&)> add_cost_;
+};
+
+// Thread with its own main context that owns the coordination node, the platform client and the
+// peer transport. All functions may be called from any thread; they post a message to the task.
+class ControlTask {
+ public:
+  ControlTask(coordination::NodeSettings settings, std::uint64_t random_seed,
+              ControlFactories factories, ControlCallbacks callbacks);
+  ~ControlTask();  // Stops.
+  ControlTask(const ControlTask&) = delete;
+  ControlTask& operator=(const ControlTask&) = delete;
+
+  // Starts the thread and waits until the peer listener is open; a first view has been published
+  // by then. Error: kPeerSocket.
+  Result<void> Start();
+
+  // Load of the shards that this host dispatches, for other hosts.
+  void SetLocalShards(std::vector<coordination::ShardLoad> shards);
+
+  // Begins the graceful stop: the host is no longer named to callers and gives up its assignments.
+  void Leave();
+
+  // Ends the thread. No callback runs after it returns.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace monsoonshelf::control
--- /dev/null
+++ b/src/platform/platform_setup.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "coordination/coordination_types.h"
+#include "platform/iplatform_client.h"
+#include "platform/platform_types.h"
+
+namespace monsoonshelf::platform {
+
+// Makes a client that runs on the thread-default main context of the calling thread.
+// Error: kSettingsInvalidValue if the address is not an IP address with a port.
+Result<std::unique_ptr<IPlatformClient>> MakeClient(ClientSettings settings);
+
+// Counters of a client made by MakeClient.
+const ClientCounters& CountersOf(const IPlatformClient& client);
+
+// Blocking access for command-line use. Each call waits at most `timeout`.
+// Errors: kPlatformUnreachable, kPlatformTimeout (a write may have been applied),
+// kPlatformInvalidAnswer, and those named below.
+class SyncClient {
+ public:
+  // Error: kSettingsInvalidValue.
+  static Result<std::unique_ptr<SyncClient>> Make(ClientSettings settings, Duration timeout);
+  ~SyncClient();
+  SyncClient(const SyncClient&) = delete;
+  SyncClient& operator=(const SyncClient&) = delete;
+
+  // Error: kPlatformNotFound.
+  Result<coordination::PlatformObject> Get(const std::string& kind, const std::string& name);
+
+  // Replaces the object at `version`; 0 means that it must not exist. Returns the written object.
+  // Error: kPlatformConflict; `LastConflict` is the object that is there.
+  Result<coordination::PlatformObject> Put(const std::string& kind, const std::string& name,
+                                           Version version, const std::string& body);
+
+  // Errors: kPlatformConflict, kPlatformNotFound.
+  Result<void> Delete(const std::string& kind, const std::string& name, Version version);
+
+  struct Listing {
+    std::vector<coordination::PlatformObject> objects_;
+    Version version_ = 0;  // Watch from here.
+  };
+  Result<Listing> List(const std::vector<std::string>& kinds);
+
+  // Waits up to `hold` for changes above `after`; an empty list if there was none.
+  Result<Listing> Watch(const std::vector<std::string>& kinds, Version after, Duration hold);
+
+  // The object of the latest kPlatformConflict; version 0 if the object does not exist.
+  const coordination::PlatformObject& LastConflict() const;
+
+ private:
+  SyncClient();
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace monsoonshelf::platform
