statechart: parse, validate and interpret state charts

Cause: targets and members have life cycles that belong in charts, not in code. Change: ParseChart reads TOML and rejects inconsistent charts; Machine binds a chart to enums and rejects a chart whose names differ from them. Embedded charts get snake-case header names.

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -24,13 +24,16 @@
 endfunction()
 
 # monsoonshelf_embed_text(<target> <namespace> <variable> <file>)
-# Generates a header <variable>.h that holds the text of <file> as a string constant.
+# Generates the header embedded/<name>.h that holds the text of <file> as a string constant: kTargetChart
+# is in embedded/target_chart.h.
 function(monsoonshelf_embed_text target namespace variable file)
   set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${file})
   file(READ ${file} EMBEDDED_TEXT)
   set(EMBEDDED_NAMESPACE ${namespace})
   set(EMBEDDED_VARIABLE ${variable})
-  string(SUBSTRING ${variable} 1 -1 header_name)
+  string(REGEX REPLACE "^k" "" header_name ${variable})
+  string(REGEX REPLACE "([a-z0-9])([A-Z])" "\\1_\\2" header_name ${header_name})
+  string(TOLOWER ${header_name} header_name)
   configure_file(${CMAKE_SOURCE_DIR}/cmake/embedded_text.h.in
                  ${CMAKE_CURRENT_BINARY_DIR}/embedded/${header_name}.h @ONLY)
   target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_BINARY_DIR}/embedded)
--- /dev/null
+++ b/src/statechart/machine.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "base/enum_names.h"
+#include "base/result.h"
+#include "statechart/chart.h"
+
+namespace monsoonshelf::statechart {
+
+// A chart bound to the enums of the code that interprets it.
+template <typename State, std::size_t kStates, typename Event, std::size_t kEvents>
+class Machine {
+ public:
+  using StateNames = EnumNames<State, kStates>;
+  using EventNames = EnumNames<Event, kEvents>;
+
+  // Parses the chart. Fails with kChartInvalid unless its states and events are exactly the named
+  // ones, so that chart and code cannot drift apart.
+  static Result<Machine> Load(std::string_view text, const StateNames& states,
+                              const EventNames& events) {
+    BOOST_LEAF_AUTO(chart, ParseChart(text));
+    if (chart.states_.size() != kStates || chart.events_.size() != kEvents) {
+      return Fail(ResultCode::kChartInvalid,
+                  "chart " + chart.name_ + ": it has " + std::to_string(chart.states_.size()) +
+                      " states and " + std::to_string(chart.events_.size()) +
+                      " events, the code has another number");
+    }
+    Machine machine;
+    for (const auto& [state, state_name] : states) {
+      BOOST_LEAF_AUTO(from, Index(FindState(chart, state_name), chart, state_name));
+      if (from == chart.initial_) machine.initial_ = state;
+      for (const auto& [event, event_name] : events) {
+        BOOST_LEAF_AUTO(index, Index(FindEvent(chart, event_name), chart, event_name));
+        const auto to = statechart::Next(chart, from, index);
+        const auto& to_name = chart.states_[to.value_or(from)];
+        const auto to_state = ValueOf(states, to_name);
+        if (!to_state) {
+          return Fail(ResultCode::kChartInvalid,
+                      "chart " + chart.name_ + ": the code has no state \"" + to_name + "\"");
+        }
+        machine.next_[Position(state)][Position(event)] = *to_state;
+      }
+    }
+    return machine;
+  }
+
+  State Initial() const { return initial_; }
+
+  // Returns the state after an event; the same state if the chart has no transition for it.
+  State Next(State state, Event event) const { return next_[Position(state)][Position(event)]; }
+
+ private:
+  template <typename Enum>
+  static std::size_t Position(Enum value) {
+    return static_cast<std::size_t>(value);
+  }
+
+  static Result<std::size_t> Index(std::optional<std::size_t> index, const Chart& chart,
+                                   std::string_view name) {
+    if (index) return *index;
+    return Fail(ResultCode::kChartInvalid,
+                "chart " + chart.name_ + ": it lacks \"" + std::string(name) + "\"");
+  }
+
+  State initial_{};
+  std::array<std::array<State, kEvents>, kStates> next_{};
+};
+
+}  // namespace monsoonshelf::statechart
