--- /dev/null
+++ b/src/records/internal/json_text.cc
@@ -0,0 +1,66 @@
+#include "records/internal/json_text.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "records/records.h"
+
+namespace monsoonshelf::records {
+
+namespace {
+
+constexpr int kMaxDepth = 16;
+
+// Notes the first repeated key and excessive depth while the parser runs.
+class StructureCheck {
+ public:
+  bool operator()(int depth, Json::parse_event_t event, Json& parsed) {
+    using Event = Json::parse_event_t;
+    if (depth >= kMaxDepth) too_deep_ = true;
+    if (event == Event::object_start) {
+      keys_.emplace_back();
+    } else if (event == Event::object_end) {
+      keys_.pop_back();
+    } else if (event == Event::key) {
+      const auto& key = parsed.get_ref<const std::string&>();
+      if (!keys_.back().insert(key).second && repeated_.empty()) repeated_ = key;
+    }
+    return !too_deep_;
+  }
+
+  bool too_deep_ = false;
+  std::string repeated_;
+
+ private:
+  std::vector<std::set<std::string>> keys_;
+};
+
+}  // namespace
+
+Result<Json> ParseJson(std::string_view text) {
+  if (text.size() > kMaxRecordBytes) {
+    return Fail(ResultCode::kRecordTooLarge, "record has " + std::to_string(text.size()) +
+                                                 " bytes, allowed are at most " +
+                                                 std::to_string(kMaxRecordBytes));
+  }
+  StructureCheck check;
+  Json json;
+  try {
+    json = Json::parse(text, std::ref(check));
+  } catch (const Json::exception& exception) {
+    // The library reports the position only through its exception.
+    return Fail(ResultCode::kRecordSyntax,
+                std::string("record is not valid JSON: ") + exception.what());
+  }
+  if (check.too_deep_) {
+    return Fail(ResultCode::kRecordSyntax,
+                "record is nested deeper than " + std::to_string(kMaxDepth) + " levels");
+  }
+  if (!check.repeated_.empty()) {
+    return Fail(ResultCode::kRecordSyntax, "record has the key \"" + check.repeated_ + "\" twice");
+  }
+  return json;
+}
+
+}  // namespace monsoonshelf::records
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -9,7 +10,7 @@
 namespace monsoonshelf::records {
 
 // Limits that keep a record set within platform values and peer messages.
-inline constexpr std::size_t kMaxRecordBytes = 16 * 1024;
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{16} * 1024;
 inline constexpr std::size_t kMaxServices = 256;
 inline constexpr std::size_t kMaxTargets = 4096;
 inline constexpr std::size_t kMaxZones = 64;
