--- /dev/null
+++ b/src/logging/logging_types.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+#include "base/enum_names.h"
+
+namespace monsoonshelf::logging {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+inline constexpr EnumNames<LogLevel, 4> kLogLevelNames = {{
+    {LogLevel::kDebug, "debug"},
+    {LogLevel::kInfo, "info"},
+    {LogLevel::kWarning, "warning"},
+    {LogLevel::kError, "error"},
+}};
+
+struct LogSettings {
+  LogLevel level_ = LogLevel::kInfo;
+  std::string file_;  // Empty: standard output.
+};
+
+}  // namespace monsoonshelf::logging
