--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,58 @@
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+#include "app/internal/command.h"
+
+namespace monsoonshelf::app {
+namespace {
+
+namespace options = boost::program_options;
+
+void PrintHelp(std::ostream& out, const options::options_description& description) {
+  out << "Usage: monsoonshelf COMMAND [ARGUMENT]...\n\nCommands:\n";
+  for (const Command& command : Commands()) {
+    std::string left = std::string(command.name_) + " " + std::string(command.usage_);
+    left.resize(std::max<std::size_t>(left.size() + 1, 40), ' ');
+    out << "  " << left << command.summary_ << "\n";
+  }
+  out << "\n" << description;
+}
+
+int RunNamed(const std::string& name, const Arguments& arguments) {
+  for (const Command& command : Commands()) {
+    if (command.name_ == name) return command.run_(arguments);
+  }
+  std::cerr << "monsoonshelf: unknown command \"" << name << "\", see monsoonshelf --help\n";
+  return kExitUsage;
+}
+
+int Main(const Arguments& arguments) {
+  options::options_description description("Options");
+  description.add_options()("help,h", "print this help");
+  // The options of a command are its own: only those before its name belong to the program.
+  const auto name = std::find_if(arguments.begin(), arguments.end(),
+                                 [](const auto& argument) { return argument[0] != '-'; });
+  options::variables_map values;
+  try {
+    const Arguments own(arguments.begin(), name);
+    options::store(options::command_line_parser(own).options(description).run(), values);
+  } catch (const options::error& error) {
+    std::cerr << "monsoonshelf: " << error.what() << "\n";
+    return kExitUsage;
+  }
+  if (values.count("help") > 0) {
+    PrintHelp(std::cout, description);
+    return kExitOk;
+  }
+  if (name == arguments.end()) {
+    PrintHelp(std::cerr, description);
+    return kExitUsage;
+  }
+  return RunNamed(*name, Arguments(name + 1, arguments.end()));
+}
+
+}  // namespace
+}  // namespace monsoonshelf::app
+
+int main(int argc, char** argv) { return monsoonshelf::app::Main({argv + 1, argv + argc}); }
