--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -36,5 +36,5 @@
   string(TOLOWER ${header_name} header_name)
   configure_file(${CMAKE_SOURCE_DIR}/cmake/embedded_text.h.in
                  ${CMAKE_CURRENT_BINARY_DIR}/embedded/${header_name}.h @ONLY)
-  target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_BINARY_DIR}/embedded)
+  target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_BINARY_DIR})
 endfunction()
--- a/src/dispatch/internal/call_queue.cc
+++ b/src/dispatch/internal/call_queue.cc
@@ -56,6 +56,10 @@
   return expired;
 }
 
+const WaitingCall* Last(const CallQueue& queue) {
+  return queue.waiting_.empty() ? nullptr : &queue.waiting_.rbegin()->second;
+}
+
 std::optional<Time> EarliestDeadline(const CallQueue& queue) {
   std::optional<Time> earliest;
   for (const auto& [key, waiting] : queue.waiting_) {
--- a/src/dispatch/internal/call_queue.h
+++ b/src/dispatch/internal/call_queue.h
@@ -17,7 +17,8 @@
   Time arrived_{};
   std::string failed_target_;  // Target of the last attempt, avoided by a retry.
   bool may_have_run_ = false;  // An earlier attempt may have run: a refusal is then "unknown".
-  bool stay_local_ = false;    // Was refused by another zone.
+  std::vector<std::string> refused_zones_;  // Zones that refused the call.
+  Time next_spill_{};                       // Held back by the share of the other zone until then.
 };
 
 // Order: class, higher priority, earlier deadline, earlier arrival.
@@ -37,6 +38,8 @@
 bool HasClass(const CallQueue& queue, records::CallClass call_class);
 // Removes and returns the calls whose deadline is not after `now`.
 std::vector<WaitingCall> TakeExpired(CallQueue& queue, Time now);
+// Returns the call that is served last, or null.
+const WaitingCall* Last(const CallQueue& queue);
 std::optional<Time> EarliestDeadline(const CallQueue& queue);
 
 }  // namespace monsoonshelf::dispatch::internal
--- /dev/null
+++ b/src/dispatch/internal/spill_over.cc
@@ -0,0 +1,115 @@
+#include "dispatch/internal/spill_over.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+namespace monsoonshelf::dispatch::internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The share reaches 1 from 0 in one second of steady need, and halves with each sign of overload
+// of the other zone.
+constexpr double kSharePerUs = 1e-6;
+constexpr double kFirstShare = 0.05;
+constexpr double kShareDrop = 0.5;
+constexpr Duration kMaxRise = milliseconds(50);
+
+// A call that the share held back is considered again after this time.
+constexpr Duration kReconsider = milliseconds(5);
+
+// After a refusal the zone gets nothing for a round trip and a half.
+constexpr Duration kRefusalPause = milliseconds(15);
+
+// State that is older says nothing.
+constexpr Duration kMaxAge = std::chrono::seconds(5);
+
+double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
+
+bool MayForward(const WaitingCall& waiting, const RemoteState& remote, Time now) {
+  const auto& tried = waiting.refused_zones_;
+  return remote.shard_.ready_targets_ > 0 && now >= remote.blocked_until_ &&
+         now - remote.updated_ < kMaxAge &&
+         std::find(tried.begin(), tried.end(), remote.shard_.zone_) == tried.end();
+}
+
+// Cost of the other zone in microseconds: the way there and back, and the wait there.
+double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote, double typical) {
+  const double way = 2 * Microseconds(remote.shard_.one_way_delay_);
+  const int slots = remote.shard_.ready_targets_ * std::max(1, dispatcher.settings_.limits_.slots_);
+  const int ahead = remote.shard_.queued_ - remote.shard_.free_slots_ + remote.sent_since_update_;
+  return way + std::max(0, ahead + 1) * typical / slots;
+}
+
+void RaiseShare(RemoteState& remote, Time now) {
+  const Duration since = std::min(kMaxRise, now - remote.share_changed_);
+  remote.share_ =
+      std::min(1.0, std::max(kFirstShare, remote.share_) + kSharePerUs * Microseconds(since));
+  remote.share_changed_ = now;
+}
+
+void LowerShare(RemoteState& remote, Time now) {
+  remote.share_ *= kShareDrop;
+  remote.share_changed_ = now;
+}
+
+// Without own slots the zones are chosen by weight, so that not all shards pick the same one.
+RemoteState* ChooseByWeight(Dispatcher& dispatcher, const WaitingCall& waiting, Time now,
+                            Random& random) {
+  RemoteState* chosen = nullptr;
+  double total = 0;
+  for (auto& [zone, remote] : dispatcher.remotes_) {
+    if (!MayForward(waiting, remote, now)) continue;
+    const int slots = remote.shard_.ready_targets_ * dispatcher.settings_.limits_.slots_;
+    const int load = remote.shard_.queued_ + remote.sent_since_update_;
+    const double weight = static_cast<double>(slots) * slots / (slots + load);
+    total += weight;
+    if (std::uniform_real_distribution<double>(0, total)(random) < weight) chosen = &remote;
+  }
+  return chosen;
+}
+
+}  // namespace
+
+void ObserveRemote(Dispatcher& dispatcher, const RemoteShard& shard, Time now) {
+  RemoteState& remote = dispatcher.remotes_[shard.zone_];
+  remote.shard_ = shard;
+  remote.updated_ = now;
+  remote.sent_since_update_ = 0;
+  const int slots = shard.ready_targets_ * dispatcher.settings_.limits_.slots_;
+  if (shard.queued_ > slots) LowerShare(remote, now);
+}
+
+void ObserveForwardRefused(Dispatcher& dispatcher, const std::string& zone, Time now) {
+  const auto remote = dispatcher.remotes_.find(zone);
+  if (remote == dispatcher.remotes_.end()) return;
+  LowerShare(remote->second, now);
+  remote->second.blocked_until_ = now + kRefusalPause;
+}
+
+RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
+                        int ahead, Time now, Random& random) {
+  const Call& call = waiting.call_;
+  if (call.forwarded_ || call.zone_preference_ == records::ZonePreference::kOwnOnly) return nullptr;
+  if (capacity.limit_ == 0) return ChooseByWeight(dispatcher, waiting, now, random);
+  if (now < waiting.next_spill_) return nullptr;
+  const double wait = ExpectedWait(capacity, ahead);
+  RemoteState* best = nullptr;
+  double best_cost = wait;
+  for (auto& [zone, remote] : dispatcher.remotes_) {
+    if (!MayForward(waiting, remote, now)) continue;
+    const double cost = RemoteCost(dispatcher, remote, capacity.typical_us_);
+    if (cost >= best_cost) continue;
+    best = &remote;
+    best_cost = cost;
+  }
+  if (best == nullptr) return nullptr;
+  RaiseShare(*best, now);
+  if (std::uniform_real_distribution<double>(0, 1)(random) < best->share_) return best;
+  waiting.next_spill_ = now + kReconsider;
+  return nullptr;
+}
+
+}  // namespace monsoonshelf::dispatch::internal
