entry: add the path of a call through caller side, router and target client

Cause: an entry host needs a data path before it can be measured. Change: dispatch task with a router that owns the dispatchers and the outcome table, data tasks with a libsoup server and one libsoup session per target, life cycle as a state chart.

--- /dev/null
+++ b/src/entry/internal/call_headers.cc
@@ -0,0 +1,278 @@
+#include "entry/internal/call_headers.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace monsoonshelf::entry {
+
+namespace {
+
+constexpr std::size_t kMaxCallIdBytes = 256;
+constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
+
+bool SameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+template <typename Int>
+std::optional<Int> ParseInt(std::string_view text, Int low, Int high) {
+  Int value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  if (value < low || value > high) return std::nullopt;
+  return value;
+}
+
+Refusal Invalid(int status, ResultCode code, std::string reason) {
+  return {status, CallOutcome::kNotRun, code, std::move(reason)};
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c < 0x7f &&
+           std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
+  });
+}
+
+bool HasControlCharacters(std::string_view text) {
+  return std::any_of(text.begin(), text.end(),
+                     [](char c) { return static_cast<unsigned char>(c) < ' ' && c != '\t'; });
+}
+
+// Splits `/s/<service>/<path>`.
+bool SplitPath(const std::string& path, CallHead& head) {
+  if (!path.starts_with("/s/")) return false;
+  const std::size_t end = path.find_first_of("/?", 3);
+  head.service_ = path.substr(3, end == std::string::npos ? std::string::npos : end - 3);
+  head.path_ = end == std::string::npos ? "/" : path.substr(end);
+  if (head.path_[0] == '?') head.path_.insert(0, "/");
+  return !head.service_.empty();
+}
+
+std::optional<Refusal> CheckSize(const RawRequest& request, const EntrySettings& settings) {
+  std::size_t bytes = request.path_.size();
+  for (const auto& [name, value] : request.headers_) {
+    bytes += name.size() + value.size() + 4;
+    if (!IsToken(name) || HasControlCharacters(value)) {
+      return Invalid(400, ResultCode::kRequestMalformed, "a header name or value is malformed");
+    }
+  }
+  if (bytes > settings.max_header_bytes_) {
+    return Invalid(431, ResultCode::kHeaderTooLarge,
+                   "the request line and headers have " + std::to_string(bytes) +
+                       " bytes; at most " + std::to_string(settings.max_header_bytes_) +
+                       " are allowed");
+  }
+  return std::nullopt;
+}
+
+// Reads deadline, depth and retry budget.
+std::optional<Refusal> ReadNumbers(const RawRequest& request, const records::Rule& rule, Time now,
+                                   CallHead& head) {
+  head.deadline_ = now + rule.deadline_;
+  if (const auto* text = FindHeader(request.headers_, kDeadlineHeader)) {
+    const auto value = ParseInt<std::int64_t>(*text, 0, kMaxDeadlineMs);
+    if (!value) {
+      return Invalid(400, ResultCode::kDeadlineInvalid,
+                     std::string(kDeadlineHeader) + " must be a number of milliseconds from 0 to " +
+                         std::to_string(kMaxDeadlineMs));
+    }
+    head.deadline_ = std::min(head.deadline_, now + std::chrono::milliseconds(*value));
+    if (*value == 0) {
+      return Refusal{504, CallOutcome::kNotRun, ResultCode::kDeadlinePassed,
+                     "the deadline passed before the call arrived"};
+    }
+  }
+  if (const auto* text = FindHeader(request.headers_, kDepthHeader)) {
+    const auto value = ParseInt(*text, 0, 1'000'000);
+    if (!value) return Invalid(400, ResultCode::kRequestMalformed, "the depth is not a number");
+    if (*value > kMaxDepth) {
+      return Invalid(400, ResultCode::kDepthExceeded,
+                     "the call tree is deeper than " + std::to_string(kMaxDepth) + " levels");
+    }
+    head.depth_ = *value;
+  }
+  if (const auto* text = FindHeader(request.headers_, kRetryBudgetHeader)) {
+    const auto value = ParseInt(*text, 0, 1'000'000);
+    if (!value) {
+      return Invalid(400, ResultCode::kRequestMalformed, "the retry budget is not a number");
+    }
+    head.retry_budget_ = std::min(*value, kMaxRetryBudget);
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> ReadIdentity(const RawRequest& request, CallHead& head) {
+  if (const auto* text = FindHeader(request.headers_, kForwardedHeader)) {
+    const auto hops = ParseHops(*text);
+    if (!hops) {
+      return Invalid(400, ResultCode::kForwardLoop,
+                     "the call was forwarded more than once for the same purpose");
+    }
+    head.hops_ = *hops;
+  }
+  if (const auto* text = FindHeader(request.headers_, kCallIdHeader)) {
+    if (text->empty() || text->size() > kMaxCallIdBytes) {
+      return Invalid(400, ResultCode::kCallIdInvalid, "the call identifier has an invalid length");
+    }
+    head.call_id_ = *text;
+  } else if (!head.idempotent_) {
+    return Invalid(400, ResultCode::kCallIdMissing,
+                   std::string("a call that is not idempotent needs the header ") + kCallIdHeader);
+  }
+  if (head.idempotent_) return std::nullopt;
+  return Recover(
+      [&]() -> Result<std::optional<Refusal>> {
+        BOOST_LEAF_ASSIGN(head.parsed_id_, outcomes::ParseCallId(head.call_id_));
+        return std::optional<Refusal>();
+      },
+      [](const Error& error) {
+        return std::optional<Refusal>(Invalid(400, ResultCode::kCallIdInvalid, error.message_));
+      });
+}
+
+void CopyRule(const records::Rule& rule, CallHead& head) {
+  head.class_ = rule.class_;
+  head.priority_ = rule.priority_;
+  head.idempotent_ = rule.idempotent_;
+  head.attempts_ = rule.attempts_;
+  head.zone_preference_ = rule.zone_preference_;
+  head.max_request_body_ = rule.max_request_body_;
+}
+
+}  // namespace
+
+const std::string* FindHeader(const Headers& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (SameName(key, name)) return &value;
+  }
+  return nullptr;
+}
+
+bool IsHopHeader(std::string_view name) {
+  static constexpr std::string_view kNames[] = {"Connection",
+                                                "Keep-Alive",
+                                                "Proxy-Authenticate",
+                                                "Proxy-Authorization",
+                                                "TE",
+                                                "Transfer-Encoding",
+                                                "Trailer",
+                                                "Upgrade",
+                                                "Host",
+                                                "Content-Length",
+                                                "Expect",
+                                                "Proxy-Connection",
+                                                "Date"};
+  if (name.size() > 13 && SameName(name.substr(0, 13), "Monsoonshelf-")) return true;
+  return std::any_of(std::begin(kNames), std::end(kNames),
+                     [&](std::string_view entry) { return SameName(entry, name); });
+}
+
+std::variant<CallHead, Refusal> ParseCall(const RawRequest& request, const EntryView& view,
+                                          const EntrySettings& settings, Time now) {
+  CallHead head;
+  head.received_ = now;
+  if (const auto refusal = CheckSize(request, settings)) return *refusal;
+  if (!IsToken(request.method_)) {
+    return Invalid(400, ResultCode::kRequestMalformed, "the method is malformed");
+  }
+  if (!SplitPath(request.path_, head)) {
+    return Invalid(404, ResultCode::kRequestMalformed, "paths of calls are /s/<service>/<path>");
+  }
+  const auto service = view.snapshot_->services_.find(head.service_);
+  if (service == view.snapshot_->services_.end()) {
+    return Invalid(404, ResultCode::kUnknownService,
+                   "service \"" + head.service_ + "\" does not exist");
+  }
+  head.method_ = request.method_;
+  const auto& rule = configuration::FindRule(service->second, head.method_,
+                                             head.path_.substr(0, head.path_.find('?')));
+  CopyRule(rule, head);
+  if (auto refusal = ReadNumbers(request, rule, now, head)) return *refusal;
+  if (auto refusal = ReadIdentity(request, head)) return *refusal;
+  head.body_length_ = request.body_length_;
+  if (head.body_length_ > head.max_request_body_) {
+    return Invalid(
+        413, ResultCode::kBodyTooLarge,
+        "the request body has more than " + std::to_string(head.max_request_body_) + " bytes");
+  }
+  const auto* zone = FindHeader(request.headers_, kShardZoneHeader);
+  head.shard_zone_ = zone != nullptr && !head.hops_.empty() ? *zone : settings.zone_;
+  for (const auto& header : request.headers_) {
+    if (!IsHopHeader(header.first)) head.headers_.push_back(header);
+  }
+  return head;
+}
+
+Headers OutgoingHeaders(const CallHead& head, Time deadline, int retry_budget, Time now) {
+  Headers headers = head.headers_;
+  const auto left = std::max(Duration(0), deadline - now);
+  // Rounded down, so that the receiver never assumes more time than there is.
+  headers.emplace_back(kDeadlineHeader, std::to_string(left.count() / 1000));
+  headers.emplace_back(kDepthHeader, std::to_string(head.depth_));
+  headers.emplace_back(kRetryBudgetHeader, std::to_string(retry_budget));
+  if (!head.call_id_.empty()) headers.emplace_back(kCallIdHeader, head.call_id_);
+  return headers;
+}
+
+std::optional<dispatch::LoadReport> ParseLoad(std::string_view text) {
+  dispatch::LoadReport report;
+  int seen = 0;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(';'), text.size());
+    const std::string_view field = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    const std::size_t equals = field.find('=');
+    if (equals == std::string_view::npos) return std::nullopt;
+    std::string_view key = field.substr(0, equals);
+    while (key.starts_with(' ')) key.remove_prefix(1);
+    const std::string_view value = field.substr(equals + 1);
+    if (key == "in_flight" || key == "slots") {
+      const auto number = ParseInt(value, 0, 1'000'000);
+      if (!number) return std::nullopt;
+      (key == "slots" ? report.slots_ : report.in_flight_) = *number;
+    } else if (key == "state") {
+      const auto phase = ValueOf(dispatch::kTargetPhaseNames, value);
+      if (!phase || *phase > dispatch::TargetPhase::kDraining) return std::nullopt;
+      report.phase_ = *phase;
+    } else if (key == "epoch") {
+      const auto epoch = ParseInt<std::uint64_t>(value, 0, UINT64_MAX);
+      if (!epoch) return std::nullopt;
+      report.epoch_ = *epoch;
+    } else {
+      continue;
+    }
+    ++seen;
+  }
+  if (seen != 4) return std::nullopt;
+  return report;
+}
+
+std::optional<std::vector<Hop>> ParseHops(std::string_view text) {
+  std::vector<Hop> hops;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    std::string_view name = text.substr(0, end);
+    while (name.starts_with(' ')) name.remove_prefix(1);
+    const auto hop = ValueOf(kHopNames, name);
+    if (!hop || *hop == Hop::kNone) return std::nullopt;
+    if (!hops.empty() && *hop <= hops.back()) return std::nullopt;
+    hops.push_back(*hop);
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return hops;
+}
+
+std::string FormatHops(const std::vector<Hop>& hops) {
+  std::string text;
+  for (const Hop hop : hops) {
+    if (!text.empty()) text += ',';
+    text += NameOf(kHopNames, hop);
+  }
+  return text;
+}
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/internal/caller_side.cc
@@ -0,0 +1,382 @@
+#include "entry/internal/caller_side.h"
+
+#include <fcntl.h>
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/clock.h"
+#include "entry/internal/call_headers.h"
+#include "entry/internal/entry_hosts.h"
+
+namespace monsoonshelf::entry {
+
+namespace {
+
+// Calls younger than this are not checked for a caller that went away: most end before.
+constexpr Duration kGoneCheckAge = std::chrono::milliseconds(20);
+// Extra time for the router to end a call at its deadline.
+constexpr Duration kRequestGrace = std::chrono::seconds(1);
+
+bool PeerClosed(GSocket* socket) {
+  char byte = 0;
+  const auto count = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+RawRequest ReadRequest(SoupServerMessage* message) {
+  RawRequest request;
+  request.method_ = soup_server_message_get_method(message);
+  GUri* uri = soup_server_message_get_uri(message);
+  request.path_ = g_uri_get_path(uri);
+  if (const char* query = g_uri_get_query(uri)) request.path_ += std::string("?") + query;
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  SoupMessageHeadersIter iterator;
+  soup_message_headers_iter_init(&iterator, headers);
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&iterator, &name, &value)) {
+    request.headers_.emplace_back(name, value);
+  }
+  const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+  if (encoding == SOUP_ENCODING_CONTENT_LENGTH) {
+    request.body_length_ = soup_message_headers_get_content_length(headers);
+  } else if (encoding == SOUP_ENCODING_CHUNKED) {
+    request.body_length_ = -1;
+  }
+  return request;
+}
+
+}  // namespace
+
+CallerSide::CallerSide(const EntrySettings& settings, std::size_t task, ICallerPort& port,
+                       const EntryCallbacks& callbacks)
+    : settings_(settings),
+      task_(task),
+      port_(port),
+      callbacks_(callbacks),
+      server_(soup_server_new("raw-paths", TRUE, nullptr)),
+      view_(std::make_shared<EntryView>()) {
+  soup_server_add_early_handler(server_.get(), nullptr, &CallerSide::OnHeaders, this, nullptr);
+  soup_server_add_handler(server_.get(), nullptr, &CallerSide::OnRequest, this, nullptr);
+}
+
+CallerSide::~CallerSide() {
+  for (auto& [message, call] : by_message_) {
+    g_signal_handlers_disconnect_by_data(message, this);
+    Abort(*call);
+    ClosePipe(*call);
+  }
+  soup_server_disconnect(server_.get());
+  for (GWeakRef* connection : connections_) {
+    g_weak_ref_clear(connection);
+    delete connection;
+  }
+}
+
+void CallerSide::Accept(GSocketConnection* connection) {
+  GSocket* socket = g_socket_connection_get_socket(connection);
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  GObjectPtr<GSocketAddress> local(g_socket_get_local_address(socket, nullptr));
+  GObjectPtr<GSocketAddress> remote(g_socket_get_remote_address(socket, nullptr));
+  if (local == nullptr || remote == nullptr) return;
+  if (!soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(),
+                                   remote.get(), nullptr)) {
+    return;
+  }
+  std::erase_if(connections_, [](GWeakRef* reference) {
+    void* object = g_weak_ref_get(reference);
+    if (object != nullptr) {
+      g_object_unref(object);
+      return false;
+    }
+    g_weak_ref_clear(reference);
+    delete reference;
+    return true;
+  });
+  auto* reference = new GWeakRef;
+  g_weak_ref_init(reference, connection);
+  connections_.push_back(reference);
+}
+
+CallerSide::CallPtr CallerSide::Find(CallHandle handle) {
+  const auto found = calls_.find(handle);
+  return found == calls_.end() ? nullptr : found->second;
+}
+
+CallerSide::CallPtr CallerSide::FindMessage(SoupServerMessage* message) {
+  const auto found = by_message_.find(message);
+  return found == by_message_.end() ? nullptr : found->second;
+}
+
+void CallerSide::OnHeaders(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*,
+                           gpointer data) {
+  static_cast<CallerSide*>(data)->Begin(message, path);
+}
+
+void CallerSide::Begin(SoupServerMessage* message, const char* path) {
+  auto call = std::make_shared<CallerCall>();
+  call->handle_ = (static_cast<CallHandle>(task_) << kTaskShift) | next_handle_++;
+  call->message_ = Ref(message);
+  calls_[call->handle_] = call;
+  by_message_[message] = call;
+  g_signal_connect(message, "got-chunk", G_CALLBACK(&CallerSide::OnGotChunk), this);
+  g_signal_connect(message, "wrote-chunk", G_CALLBACK(&CallerSide::OnWroteChunk), this);
+  g_signal_connect(message, "finished", G_CALLBACK(&CallerSide::OnFinished), this);
+  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+  soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
+  call->end_.total_ = Now().time_since_epoch();
+  if (std::string_view(path) == kEntryHostsPath) {
+    ServeEntryHosts(call);
+    return;
+  }
+  auto refusal = CheckHost();
+  if (!refusal) refusal = BeginCall(call);
+  if (refusal) Refuse(call->handle_, *refusal);
+}
+
+std::optional<Refusal> CallerSide::CheckHost() const {
+  if (mode_ == ServingMode::kDraining) {
+    return Refusal{503, CallOutcome::kNotRun, ResultCode::kHostStopping,
+                   "the entry host is stopping"};
+  }
+  if (mode_ == ServingMode::kStarting || !view_->has_configuration_ ||
+      view_->snapshot_ == nullptr) {
+    return Refusal{503, CallOutcome::kNotRun, ResultCode::kNotReady,
+                   "the entry host has no configuration yet"};
+  }
+  if (view_->isolated_) {
+    return Refusal{503, CallOutcome::kNotRun, ResultCode::kHostIsolated,
+                   "the entry host reaches neither the platform nor a peer"};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> CallerSide::BeginCall(const CallPtr& call) {
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(call->message_.get());
+  const char* length = soup_message_headers_get_list(headers, "Content-Length");
+  const char* encoding = soup_message_headers_get_list(headers, "Transfer-Encoding");
+  // Ambiguous lengths let a request pass as two at the next hop.
+  if (length != nullptr &&
+      (encoding != nullptr || std::string_view(length).find(',') != std::string_view::npos)) {
+    return Refusal{400, CallOutcome::kNotRun, ResultCode::kRequestMalformed,
+                   "the length of the request body is ambiguous"};
+  }
+  auto parsed = ParseCall(ReadRequest(call->message_.get()), *view_, settings_, Now());
+  if (auto* refusal = std::get_if<Refusal>(&parsed)) return std::move(*refusal);
+  auto head = std::make_shared<CallHead>(std::move(std::get<CallHead>(parsed)));
+  if (head->call_id_.empty()) {
+    // Targets echo the identifier, so that every call needs one.
+    head->call_id_ = "auto-" + settings_.name_ + "-" + std::to_string(settings_.incarnation_) +
+                     "-" + std::to_string(call->handle_);
+  }
+  call->head_ = head;
+  return BeginBody(call);
+}
+
+bool CallerSide::Reserve(CallerCall& call, std::size_t bytes) {
+  const std::size_t cap =
+      settings_.max_buffered_bytes_ / static_cast<std::size_t>(settings_.data_tasks_);
+  if (reserved_ + bytes > cap) return false;
+  reserved_ += bytes;
+  call.reserved_ += bytes;
+  return true;
+}
+
+std::optional<Refusal> CallerSide::BeginBody(const CallPtr& call) {
+  const auto length = call->head_->body_length_;
+  const bool streamed = length < 0 || length > static_cast<std::int64_t>(kSmallBodyBytes);
+  // A streamed call holds one piece in the pipe and one in front of it in each direction.
+  const std::size_t bytes = streamed ? 4 * kChunkBytes : static_cast<std::size_t>(length);
+  if (!Reserve(*call, bytes)) {
+    return Refusal{503, CallOutcome::kNotRun, ResultCode::kMemoryLimit,
+                   "the memory for bodies of calls is used up"};
+  }
+  if (!streamed) {
+    call->body_.reserve(bytes);
+    return std::nullopt;
+  }
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0) {
+    return Refusal{503, CallOutcome::kNotRun, ResultCode::kMemoryLimit,
+                   "no pipe for the request body could be opened"};
+  }
+  call->pipe_ = std::make_shared<FileDescriptor>(ends[1]);
+  call->routed_ = true;
+  port_.Route({call->handle_, call->head_, {nullptr, std::make_shared<FileDescriptor>(ends[0])}});
+  return std::nullopt;
+}
+
+void CallerSide::OnGotChunk(SoupServerMessage* message, GBytes* bytes, gpointer data) {
+  auto* side = static_cast<CallerSide*>(data);
+  const CallPtr call = side->FindMessage(message);
+  if (call == nullptr) return;
+  gsize size = 0;
+  const auto* start = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  side->TakeChunk(call, start, size);
+}
+
+void CallerSide::TakeChunk(const CallPtr& call, const char* data, std::size_t size) {
+  call->body_received_ += static_cast<std::int64_t>(size);
+  const std::int64_t limit = call->head_ != nullptr ? call->head_->max_request_body_ : 0;
+  if (call->responded_ || call->discards_body_) {
+    // A refused body is read, so that the caller sees the response, but not without end.
+    if (call->body_received_ > limit + static_cast<std::int64_t>(16 * kChunkBytes)) Abort(*call);
+    return;
+  }
+  if (call->body_received_ > limit) {
+    TellGone(*call, ResultCode::kBodyTooLarge);
+    return;
+  }
+  if (call->pipe_ == nullptr) {
+    call->body_.append(data, size);
+    return;
+  }
+  call->pipe_pending_.append(data, size);
+  FillPipe(call);
+}
+
+void CallerSide::FillPipe(const CallPtr& call) {
+  std::size_t done = 0;
+  while (done < call->pipe_pending_.size()) {
+    const auto count = write(call->pipe_->get(), call->pipe_pending_.data() + done,
+                             call->pipe_pending_.size() - done);
+    if (count > 0) {
+      done += static_cast<std::size_t>(count);
+    } else if (errno == EAGAIN) {
+      break;
+    } else if (errno != EINTR) {
+      // The send has ended; the rest of the body is not needed.
+      call->discards_body_ = true;
+      call->pipe_pending_.clear();
+      Unpause(*call);
+      return;
+    }
+  }
+  call->pipe_pending_.erase(0, done);
+  if (call->pipe_pending_.empty()) {
+    if (call->body_complete_) {
+      ClosePipe(*call);
+    } else {
+      Unpause(*call);
+    }
+    return;
+  }
+  Pause(*call);
+  if (call->pipe_source_ == nullptr) {
+    call->pipe_source_ = g_unix_fd_source_new(call->pipe_->get(), G_IO_OUT);
+    auto* data = new std::pair<CallerSide*, CallHandle>(this, call->handle_);
+    g_source_set_callback(
+        call->pipe_source_, G_SOURCE_FUNC(&CallerSide::OnPipeReady), data,
+        [](gpointer pair) { delete static_cast<std::pair<CallerSide*, CallHandle>*>(pair); });
+    g_source_attach(call->pipe_source_, g_main_context_get_thread_default());
+  }
+}
+
+gboolean CallerSide::OnPipeReady(gint, GIOCondition, gpointer data) {
+  const auto [side, handle] = *static_cast<std::pair<CallerSide*, CallHandle>*>(data);
+  const CallPtr call = side->Find(handle);
+  if (call == nullptr) return G_SOURCE_REMOVE;
+  g_source_unref(std::exchange(call->pipe_source_, nullptr));
+  if (call->pipe_ != nullptr) side->FillPipe(call);
+  return G_SOURCE_REMOVE;
+}
+
+void CallerSide::ClosePipe(CallerCall& call) {
+  if (call.pipe_source_ != nullptr) {
+    g_source_destroy(call.pipe_source_);
+    g_source_unref(std::exchange(call.pipe_source_, nullptr));
+  }
+  call.pipe_.reset();
+}
+
+void CallerSide::OnRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+                           gpointer data) {
+  auto* side = static_cast<CallerSide*>(data);
+  const CallPtr call = side->FindMessage(message);
+  if (call == nullptr || call->responded_) return;
+  call->body_complete_ = true;
+  side->Pause(*call);
+  if (call->pipe_ != nullptr) {
+    side->FillPipe(call);
+  } else if (!call->routed_) {
+    side->RouteCall(call);
+  }
+}
+
+void CallerSide::RouteCall(const CallPtr& call) {
+  call->routed_ = true;
+  port_.Route({call->handle_,
+               call->head_,
+               {std::make_shared<const std::string>(std::move(call->body_)), nullptr}});
+}
+
+void CallerSide::Pause(CallerCall& call) {
+  if (call.paused_ || call.message_ == nullptr) return;
+  call.paused_ = true;
+  soup_server_message_pause(call.message_.get());
+}
+
+void CallerSide::Unpause(CallerCall& call) {
+  if (!call.paused_ || call.message_ == nullptr) return;
+  call.paused_ = false;
+  soup_server_message_unpause(call.message_.get());
+}
+
+void CallerSide::TellGone(CallerCall& call, ResultCode code) {
+  if (call.gone_) return;
+  call.gone_ = true;
+  call.gone_code_ = code;
+  call.discards_body_ = true;
+  call.end_.caller_gone_ = code == ResultCode::kCallCancelled;
+  if (call.routed_) {
+    port_.CallerGone(call.handle_);
+  } else {
+    Refuse(call.handle_, {code == ResultCode::kBodyTooLarge ? 413 : 504, CallOutcome::kNotRun, code,
+                          std::string(ResultCodeName(code))});
+  }
+}
+
+void CallerSide::Check(Time now) {
+  std::vector<CallPtr> old;
+  for (const auto& [handle, call] : calls_) {
+    if (call->message_ == nullptr || call->gone_ || call->head_ == nullptr) continue;
+    if (now - call->head_->received_ >= kGoneCheckAge) old.push_back(call);
+  }
+  for (const auto& call : old) {
+    GSocket* socket = soup_server_message_get_socket(call->message_.get());
+    if (socket != nullptr && PeerClosed(socket)) {
+      TellGone(*call, ResultCode::kCallCancelled);
+    } else if (!call->responded_ && !call->body_complete_ &&
+               now > call->head_->deadline_ + kRequestGrace) {
+      TellGone(*call, ResultCode::kDeadlinePassed);
+    }
+  }
+}
+
+std::size_t CallerSide::CloseIdle() {
+  std::set<GSocket*> busy;
+  for (const auto& [handle, call] : calls_) {
+    if (call->message_ != nullptr)
+      busy.insert(soup_server_message_get_socket(call->message_.get()));
+  }
+  for (GWeakRef* reference : connections_) {
+    auto* object = static_cast<GSocketConnection*>(g_weak_ref_get(reference));
+    if (object == nullptr) continue;
+    GSocket* socket = g_socket_connection_get_socket(object);
+    // A request that has arrived but was not read yet is still answered.
+    if (!busy.contains(socket) && g_socket_get_available_bytes(socket) <= 0) {
+      g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+    g_object_unref(object);
+  }
+  return busy.size();
+}
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/internal/lifecycle.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/enum_names.h"
+#include "base/result.h"
+#include "statechart/machine.h"
+
+namespace monsoonshelf::entry {
+
+enum class LifecycleState { kStarting, kServing, kLeaving, kDraining, kStopped };
+
+inline constexpr EnumNames<LifecycleState, 5> kLifecycleStateNames = {{
+    {LifecycleState::kStarting, "starting"},
+    {LifecycleState::kServing, "serving"},
+    {LifecycleState::kLeaving, "leaving"},
+    {LifecycleState::kDraining, "draining"},
+    {LifecycleState::kStopped, "stopped"},
+}};
+
+enum class LifecycleEvent { kConfigured, kStop, kKeepTimeEnded, kDrained, kForced };
+
+inline constexpr EnumNames<LifecycleEvent, 5> kLifecycleEventNames = {{
+    {LifecycleEvent::kConfigured, "configured"},
+    {LifecycleEvent::kStop, "stop"},
+    {LifecycleEvent::kKeepTimeEnded, "keep_time_ended"},
+    {LifecycleEvent::kDrained, "drained"},
+    {LifecycleEvent::kForced, "forced"},
+}};
+
+using LifecycleMachine = statechart::Machine<LifecycleState, 5, LifecycleEvent, 5>;
+
+// Loads src/entry/lifecycle.chart.toml, which is embedded. Error: kChartInvalid, kChartSyntax.
+Result<LifecycleMachine> LoadLifecycle();
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/internal/task.cc
@@ -0,0 +1,143 @@
+#include "entry/internal/task.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace monsoonshelf::entry {
+
+struct Task::MailboxSource {
+  GSource base_;
+  Task* task_;
+};
+
+Task::Task(std::string name)
+    : name_(std::move(name)),
+      context_(g_main_context_new()),
+      loop_(g_main_loop_new(context_, FALSE)),
+      queue_(g_async_queue_new_full([](gpointer item) { delete static_cast<Message*>(item); })) {
+  static GSourceFuncs functions = {&Task::Prepare, &Task::Check, &Task::Dispatch,
+                                   nullptr,        nullptr,      nullptr};
+  source_ = g_source_new(&functions, sizeof(MailboxSource));
+  reinterpret_cast<MailboxSource*>(source_)->task_ = this;
+  g_source_attach(source_, context_);
+}
+
+Task::~Task() {
+  Stop();
+  g_source_destroy(source_);
+  g_source_unref(source_);
+  g_async_queue_unref(queue_);
+  g_main_loop_unref(loop_);
+  g_main_context_unref(context_);
+}
+
+void Task::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void Task::Stop() {
+  if (!thread_.joinable()) return;
+  Post([this] { g_main_loop_quit(loop_); });
+  thread_.join();
+}
+
+void Task::Post(Message message) {
+  g_async_queue_push(queue_, new Message(std::move(message)));
+  if (!woken_.exchange(true)) g_main_context_wakeup(context_);
+}
+
+void Task::PostAndWait(const Message& message) {
+  std::mutex mutex;
+  std::condition_variable done_changed;
+  bool done = false;
+  Post([&] {
+    message();
+    const std::lock_guard lock(mutex);
+    done = true;
+    done_changed.notify_one();
+  });
+  std::unique_lock lock(mutex);
+  done_changed.wait(lock, [&] { return done; });
+}
+
+gboolean Task::Prepare(GSource* source, gint* timeout) {
+  *timeout = -1;
+  return Check(source);
+}
+
+gboolean Task::Check(GSource* source) {
+  return g_async_queue_length(reinterpret_cast<MailboxSource*>(source)->task_->queue_) > 0;
+}
+
+gboolean Task::Dispatch(GSource* source, GSourceFunc, gpointer) {
+  reinterpret_cast<MailboxSource*>(source)->task_->Drain();
+  return G_SOURCE_CONTINUE;
+}
+
+void Task::Drain() {
+  // Cleared before the queue is read: a later message wakes the context again.
+  woken_.store(false);
+  // Bounded, so that a busy mailbox does not keep sockets waiting; the rest runs in the next turn.
+  for (int i = 0; i < 64; ++i) {
+    auto* message = static_cast<Message*>(g_async_queue_try_pop(queue_));
+    if (message == nullptr) return;
+    (*message)();
+    delete message;
+  }
+}
+
+void Task::Run() {
+  id_.store(std::this_thread::get_id());
+  pthread_setname_np(pthread_self(), name_.substr(0, 15).c_str());
+  g_main_context_push_thread_default(context_);
+  g_main_loop_run(loop_);
+  while (g_async_queue_length(queue_) > 0) Drain();
+  g_main_context_pop_thread_default(context_);
+}
+
+struct Timer::TimerSource {
+  GSource base_;
+  Timer* timer_;
+};
+
+Timer::Timer(GMainContext* context, std::function<void()> callback)
+    : callback_(std::move(callback)) {
+  // Not a GLib timeout source: that one sets its next time itself after each run.
+  static GSourceFuncs functions = {nullptr, nullptr, &Timer::Fire, nullptr, nullptr, nullptr};
+  source_ = g_source_new(&functions, sizeof(TimerSource));
+  reinterpret_cast<TimerSource*>(source_)->timer_ = this;
+  g_source_attach(source_, context);
+}
+
+Timer::~Timer() {
+  g_source_destroy(source_);
+  g_source_unref(source_);
+}
+
+void Timer::Set(Time at) {
+  at_ = at;
+  active_ = true;
+  const auto wait = std::max(Duration(0), at - Now());
+  g_source_set_ready_time(source_, g_get_monotonic_time() + wait.count());
+}
+
+void Timer::Clear() {
+  if (!active_) return;
+  active_ = false;
+  g_source_set_ready_time(source_, -1);
+}
+
+gboolean Timer::Fire(GSource* source, GSourceFunc, gpointer) {
+  auto* timer = reinterpret_cast<TimerSource*>(source)->timer_;
+  timer->Clear();
+  timer->callback_();
+  return G_SOURCE_CONTINUE;
+}
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/internal/task.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <glib.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "base/base_types.h"
+
+namespace monsoonshelf::entry {
+
+// A thread with its own main context and a mailbox. State of a task is touched only by messages
+// that run on its thread.
+class Task {
+ public:
+  using Message = std::function<void()>;
+
+  explicit Task(std::string name);
+  ~Task();  // Stops the thread.
+  Task(const Task&) = delete;
+  Task& operator=(const Task&) = delete;
+
+  void Start();
+  // Runs the remaining messages, then ends the thread.
+  void Stop();
+
+  // Queues a message; callable from every thread. A message posted by the task itself also waits
+  // for its turn.
+  void Post(Message message);
+
+  // Posts a message and waits until it has run.
+  void PostAndWait(const Message& message);
+
+  // Runs a message at once on the task's own thread, otherwise posts it.
+  template <typename Function>
+  void Run(Function&& function) {
+    if (IsCurrent()) {
+      function();
+    } else {
+      Post(std::forward<Function>(function));
+    }
+  }
+
+  bool IsCurrent() const { return std::this_thread::get_id() == id_.load(); }
+  bool running() const { return thread_.joinable(); }
+  GMainContext* context() const { return context_; }
+
+ private:
+  struct MailboxSource;
+  static gboolean Prepare(GSource* source, gint* timeout);
+  static gboolean Check(GSource* source);
+  static gboolean Dispatch(GSource* source, GSourceFunc callback, gpointer data);
+
+  void Run();
+  void Drain();
+
+  std::string name_;
+  GMainContext* context_;
+  GMainLoop* loop_;
+  GAsyncQueue* queue_;
+  GSource* source_;
+  // True while a wake-up is due. Saves the system call when messages arrive in a batch.
+  std::atomic<bool> woken_{false};
+  std::thread thread_;
+  std::atomic<std::thread::id> id_{};
+};
+
+// Timer on a main context, used only on the thread of the context. Setting it again is cheap.
+class Timer {
+ public:
+  Timer(GMainContext* context, std::function<void()> callback);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  // Replaces the time. The callback runs once, at `at` at the earliest.
+  void Set(Time at);
+  void Clear();
+  bool active() const { return active_; }
+  Time at() const { return at_; }
+
+ private:
+  struct TimerSource;
+  static gboolean Fire(GSource* source, GSourceFunc callback, gpointer data);
+
+  GSource* source_ = nullptr;
+  std::function<void()> callback_;
+  Time at_{};
+  bool active_ = false;
+};
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/tests/entry_host_test.cc
@@ -0,0 +1,35 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "entry/tests/entry_fixture.h"
+
+namespace monsoonshelf::entry {
+
+class EntryHostTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryHostTest);
+  CPPUNIT_TEST(ServesCallsAndNamesHosts);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards the whole path: path, body and headers reach the target, its response the caller.
+  void ServesCallsAndNamesHosts() {
+    FakeTarget target(EchoHandler);
+    EntryFixture entry;
+    CPPUNIT_ASSERT(entry.started());
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call("GET", "/s/svc/a").status());
+    entry.targets_ = {target.address()};
+    entry.Publish();
+    const auto read = entry.Call("GET", "/s/svc/a/b?c=%20d");
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /a/b?c=%20d|"), read.body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"), read.outcome());
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), read.code());
+    const auto write = entry.Post(entry.NewId(), "stamp");
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /work|stamp"), write.body_);
+    const auto hosts = entry.Call("GET", "/monsoonshelf/v1/entry-hosts?service=svc&zone=z1");
+    CPPUNIT_ASSERT(hosts.body_.find("\"ticket\":\"h1.7.") != std::string::npos);
+    CPPUNIT_ASSERT(hosts.body_.find(entry.address()) != std::string::npos);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryHostTest);
+
+}  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/entry/tests/mocks/fake_target.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace monsoonshelf::entry {
+
+// One side of a TCP connection with blocking reads of HTTP messages.
+class Connection {
+ public:
+  explicit Connection(int descriptor) : descriptor_(descriptor) {}
+  Connection(Connection&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)), buffer_(std::move(other.buffer_)) {}
+  Connection& operator=(Connection&&) = delete;
+  ~Connection() { Close(); }
+
+  static Connection To(const std::string& address) {
+    const std::size_t colon = address.rfind(':');
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+      close(descriptor);
+      return Connection(-1);
+    }
+    return Connection(descriptor);
+  }
+
+  bool ok() const { return descriptor_ >= 0; }
+  void Close() {
+    if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
+  }
+  void Reset() {
+    const linger reset{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    Close();
+  }
+  bool Write(const std::string& text) {
+    std::size_t done = 0;
+    while (done < text.size()) {
+      const auto count = send(descriptor_, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+      if (count <= 0) return false;
+      done += static_cast<std::size_t>(count);
+    }
+    return true;
+  }
+  // Reads up to the end of the headers, which are included; empty at the end of the connection.
+  std::string ReadHead() {
+    std::size_t end = 0;
+    while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
+      if (!Fill()) return "";
+    }
+    std::string head = buffer_.substr(0, end + 4);
+    buffer_.erase(0, end + 4);
+    return head;
+  }
+  // Reads `size` bytes, fewer at the end of the connection.
+  std::string ReadBody(std::size_t size) {
+    while (buffer_.size() < size && Fill()) {
+    }
+    std::string body = buffer_.substr(0, size);
+    buffer_.erase(0, body.size());
+    return body;
+  }
+  // Waits until the other side has closed.
+  void ReadToEnd() {
+    while (Fill()) buffer_.clear();
+  }
+
+ private:
+  bool Fill() {
+    char bytes[65536];
+    const auto count = recv(descriptor_, bytes, sizeof bytes, 0);
+    if (count <= 0) return false;
+    buffer_.append(bytes, static_cast<std::size_t>(count));
+    return true;
+  }
+
+  int descriptor_;
+  std::string buffer_;
+};
+
+inline std::string HeaderOf(const std::string& head, const std::string& name) {
+  const std::size_t start = head.find("\r\n" + name + ": ");
+  if (start == std::string::npos) return "";
+  const std::size_t value = start + name.size() + 4;
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+// Server whose handler speaks on each connection by itself.
+class FakeTarget {
+ public:
+  using Handler = std::function<void(Connection&)>;
+
+  explicit FakeTarget(Handler handler) : handler_(std::move(handler)) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listen(listener_, 64);
+    socklen_t size = sizeof address;
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    acceptor_ = std::thread([this] { Accept(); });
+  }
+  ~FakeTarget() {
+    shutdown(listener_, SHUT_RDWR);
+    acceptor_.join();
+    close(listener_);
+    for (const int descriptor : descriptors_) shutdown(descriptor, SHUT_RDWR);
+    for (auto& thread : threads_) thread.join();
+  }
+
+  const std::string& address() const { return address_; }
+  int connections() const { return connections_; }
+
+ private:
+  void Accept() {
+    for (;;) {
+      const int descriptor = accept(listener_, nullptr, nullptr);
+      if (descriptor < 0) return;
+      ++connections_;
+      // The duplicate lets the destructor end a blocked handler.
+      descriptors_.push_back(dup(descriptor));
+      threads_.emplace_back([this, descriptor] {
+        Connection connection(descriptor);
+        handler_(connection);
+      });
+    }
+  }
+
+  Handler handler_;
+  int listener_;
+  std::string address_;
+  std::atomic<int> connections_{0};
+  std::vector<int> descriptors_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+// A response as a target writes it, with the echo of the call.
+inline std::string Response(const std::string& request_head, const std::string& body,
+                            const std::string& status = "200 OK", const std::string& extra = "") {
+  return "HTTP/1.1 " + status +
+         "\r\nMonsoonshelf-Call-Id: " + HeaderOf(request_head, "Monsoonshelf-Call-Id") +
+         "\r\nMonsoonshelf-Load: in_flight=1;slots=2;state=ready;epoch=1\r\n" + extra +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace monsoonshelf::entry
