--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/base_types.h"
+#include "base/result_codes.h"
 #include "records/records_types.h"
 
 namespace monsoonshelf::configuration {
@@ -22,31 +23,50 @@
   std::optional<std::string> text_;
 };
 
-// The record in force for a key. Without a record it is a deletion mark.
+// The record in effect for a key. Without a record it is a tombstone.
 struct Entry {
   Version version_ = 0;
   std::shared_ptr<const records::Record> record_;
 };
 
-// The record set in force at one entry host, deletion marks included.
+// A version whose text failed validation. The text is kept so that peers with a newer schema get it.
+struct Rejected {
+  Version version_ = 0;
+  std::string text_;
+  ResultCode code_ = ResultCode::kOk;
+  std::string reason_;
+};
+
+// The record set in effect at one entry host, tombstones included.
 struct Configuration {
   std::map<RecordKey, Entry> entries_;
-  // Newest version per key whose text failed validation; the older entry stays in force.
-  std::map<RecordKey, Version> rejected_;
+  // Newest version per key that failed validation and is newer than the entry in effect.
+  std::map<RecordKey, Rejected> rejected_;
   Version highest_version_ = 0;  // Of accepted and rejected records.
-  std::uint64_t digest_ = 0;     // Order-independent hash over (key, version).
+  // Order-independent hash over (key, newest version received). Rejected versions count, so that
+  // hosts that accept different schemas do not exchange the same records for ever.
+  std::uint64_t digest_ = 0;
 };
 
 enum class MergeOutcome { kAccepted, kStale, kRejected };
 
-// Takes a record only with a version above the one in force, so that a record never goes back.
-// `error` gets the reason of a rejection.
+// Takes a record only with a version above the newest one received, so that a record never goes
+// back. `error` gets the reason of a rejection; it may be null.
 MergeOutcome Merge(Configuration& configuration, const RecordVersion& record, std::string* error);
 
-// Returns the records in force with a version above `after`, deletion marks included, oldest
-// first, at most `max_bytes` of text.
+// Returns the keys with a version at or below `list_version` that a complete list read at
+// `list_version` lacks: they were deleted. The tombstones carry `list_version`, which is above the
+// version of the record and below that of any later record with the same key.
+std::vector<RecordVersion> DeletedByList(const Configuration& configuration,
+                                         const std::vector<RecordKey>& listed,
+                                         Version list_version);
+
+// Returns the newest records received with a version above `after`, tombstones and rejected
+// records included, oldest first. Stops before `max_bytes` of text, but returns at least one record
+// and never splits records of equal version. `more` tells whether records were left out; it may be
+// null.
 std::vector<RecordVersion> ChangesAfter(const Configuration& configuration, Version after,
-                                        std::size_t max_bytes);
+                                        std::size_t max_bytes, bool* more = nullptr);
 
 struct TargetView {
   std::string name_;
--- /dev/null
+++ b/src/coordination/tests/ring_test.cc
@@ -0,0 +1,48 @@
+#include "coordination/internal/ring.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace monsoonshelf::coordination {
+
+class RingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RingTest);
+  CPPUNIT_TEST(SpreadsShards);
+  CPPUNIT_TEST(MovesOnlyShardsOfTheMemberThatLeft);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<MemberUpdate> MakeMembers(int count) {
+    std::vector<MemberUpdate> members(count);
+    for (int i = 0; i < count; ++i) members[i].name_ = "host" + std::to_string(i);
+    return members;
+  }
+  static HostName First(std::vector<MemberUpdate> members, int service) {
+    internal::SortForShard(members, "service" + std::to_string(service), "zone");
+    return members.front().name_;
+  }
+
+ public:
+  // Guards against one host that dispatches most shards.
+  void SpreadsShards() {
+    std::map<HostName, int> shards;
+    for (int service = 0; service < 1000; ++service) ++shards[First(MakeMembers(5), service)];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, shards.size());
+    for (const auto& [name, count] : shards) {
+      CPPUNIT_ASSERT_MESSAGE(name, count > 140 && count < 260);
+    }
+  }
+
+  // Guards against a departure that moves shards between the remaining hosts.
+  void MovesOnlyShardsOfTheMemberThatLeft() {
+    for (int service = 0; service < 200; ++service) {
+      const HostName before = First(MakeMembers(5), service);
+      if (before == "host4") continue;
+      CPPUNIT_ASSERT_EQUAL(before, First(MakeMembers(4), service));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RingTest);
+
+}  // namespace monsoonshelf::coordination
