--- /dev/null
+++ b/bench/entry_bench.cc
@@ -0,0 +1,327 @@
+// Measures what one entry host adds to a call: targets that respond at once and an open-loop
+// caller, all on loopback. Usage: entry_bench CALLS_PER_SECOND SECONDS DATA_TASKS [POST]
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/key_value.h"
+#include "entry/entry_host.h"
+
+namespace monsoonshelf::bench {
+
+namespace {
+
+constexpr int kTargets = 16;
+constexpr int kCallerConnections = 64;
+
+int Listen(std::string& address) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in local{};
+  local.sin_family = AF_INET;
+  local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof local);
+  listen(descriptor, 128);
+  socklen_t size = sizeof local;
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size);
+  address = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+  return descriptor;
+}
+
+int Connect(const std::string& address) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(10))));
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) std::abort();
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return descriptor;
+}
+
+void Watch(int poller, int descriptor) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = descriptor;
+  epoll_ctl(poller, EPOLL_CTL_ADD, descriptor, &event);
+}
+
+std::string EchoOf(const std::string& head) {
+  constexpr std::string_view kName = "Monsoonshelf-Call-Id: ";
+  const std::size_t start = head.find(kName);
+  if (start == std::string::npos) return "";
+  return head.substr(start + kName.size(), head.find('\r', start) - start - kName.size());
+}
+
+// All targets on one thread; each request is read whole, because requests are small.
+class Targets {
+ public:
+  Targets() : poller_(epoll_create1(0)) {
+    for (int i = 0; i < kTargets; ++i) {
+      std::string address;
+      listeners_.push_back(Listen(address));
+      addresses_.push_back(address);
+      Watch(poller_, listeners_.back());
+    }
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~Targets() {
+    stop_ = true;
+    thread_.join();
+  }
+  const std::vector<std::string>& addresses() const { return addresses_; }
+
+ private:
+  void Run() {
+    while (!stop_) {
+      epoll_event events[64];
+      const int count = epoll_wait(poller_, events, 64, 50);
+      for (int i = 0; i < count; ++i) Handle(events[i].data.fd);
+    }
+  }
+
+  void Handle(int descriptor) {
+    if (std::find(listeners_.begin(), listeners_.end(), descriptor) != listeners_.end()) {
+      const int accepted = accept(descriptor, nullptr, nullptr);
+      const int on = 1;
+      setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      Watch(poller_, accepted);
+      return;
+    }
+    char bytes[16384];
+    const auto size = recv(descriptor, bytes, sizeof bytes, 0);
+    if (size <= 0) {
+      close(descriptor);
+      return;
+    }
+    std::string& buffer = buffers_[descriptor];
+    buffer.append(bytes, static_cast<std::size_t>(size));
+    const std::size_t end = buffer.find("\r\n\r\n");
+    if (end == std::string::npos) return;
+    const bool post = buffer.starts_with("POST");
+    if (post && buffer.size() < end + 4 + 7) return;
+    const std::string response = "HTTP/1.1 200 OK\r\nMonsoonshelf-Call-Id: " + EchoOf(buffer) +
+                                 "\r\nMonsoonshelf-Load: in_flight=1;slots=2;state=ready;epoch=1"
+                                 "\r\nContent-Length: 12\r\n\r\nhello caller";
+    buffer.clear();
+    send(descriptor, response.data(), response.size(), MSG_NOSIGNAL);
+  }
+
+  int poller_;
+  std::vector<int> listeners_;
+  std::vector<std::string> addresses_;
+  std::map<int, std::string> buffers_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+struct Samples {
+  std::mutex mutex_;
+  std::vector<double> added_;
+  std::map<std::string, int> codes_;
+};
+
+double Percentile(std::vector<double>& values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+// Issues calls by a schedule with exponential gaps on a set of kept connections.
+struct Caller {
+  std::string address_;
+  bool post_ = false;
+  int poller_ = epoll_create1(0);
+  std::deque<int> idle_;
+  std::map<int, Time> started_;
+  std::deque<Time> waiting_;
+  std::vector<double> total_;
+  std::int64_t next_id_ = 0;
+  std::int64_t bad_ = 0;
+
+  void Send(int descriptor, Time due) {
+    started_[descriptor] = due;
+    const std::string id = "h1.7." + std::to_string(WallMicroseconds() / 60'000'000) + ".call" +
+                           std::to_string(1000000 + next_id_++);
+    const std::string text = (post_ ? "POST" : "GET") +
+                             std::string(" /s/svc/page HTTP/1.1\r\nHost: e\r\n") +
+                             "Monsoonshelf-Call-Id: " + id +
+                             (post_ ? "\r\nContent-Length: 7\r\n\r\nentry=1" : "\r\n\r\n");
+    send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  void Receive(int descriptor) {
+    char bytes[16384];
+    const auto size = recv(descriptor, bytes, sizeof bytes, 0);
+    if (size <= 0 || std::string_view(bytes, 12) != "HTTP/1.1 200") ++bad_;
+    if (size <= 0) return;
+    total_.push_back(ToMilliseconds(Now() - started_[descriptor]));
+    if (waiting_.empty()) {
+      idle_.push_back(descriptor);
+    } else {
+      const Time due = waiting_.front();
+      waiting_.pop_front();
+      Send(descriptor, due);
+    }
+  }
+
+  void Run(double rate, double seconds) {
+    for (int i = 0; i < kCallerConnections; ++i) {
+      idle_.push_back(Connect(address_));
+      Watch(poller_, idle_.back());
+    }
+    Random random(1);
+    std::exponential_distribution<double> gap(rate / 1e6);
+    const Time end = Now() + Duration(static_cast<std::int64_t>(seconds * 1e6));
+    Time due = Now();
+    while (due < end || idle_.size() < kCallerConnections) {
+      const Time now = Now();
+      if (now > end + std::chrono::seconds(5)) return;
+      while (due <= now && due < end) {
+        if (idle_.empty()) {
+          waiting_.push_back(due);
+        } else {
+          const int descriptor = idle_.front();
+          idle_.pop_front();
+          Send(descriptor, due);
+        }
+        due += Duration(static_cast<std::int64_t>(gap(random)));
+      }
+      epoll_event events[64];
+      const int count = epoll_wait(poller_, events, 64, 0);
+      for (int i = 0; i < count; ++i) Receive(events[i].data.fd);
+    }
+  }
+};
+
+entry::EntryViewPtr MakeView(const std::vector<std::string>& targets, const std::string& address) {
+  auto snapshot = std::make_shared<configuration::Snapshot>();
+  auto& service = snapshot->services_["svc"];
+  service.name_ = "svc";
+  for (const auto& target : targets) {
+    service.targets_.push_back({"t" + target, "svc", "z1", target, true});
+  }
+  records::Rule reads;
+  reads.service_ = "svc";
+  reads.method_ = "GET";
+  reads.idempotent_ = true;
+  records::Rule writes;
+  writes.service_ = "svc";
+  service.rules_ = {{"reads", reads}, {"writes", writes}};
+  auto view = std::make_shared<entry::EntryView>();
+  view->snapshot_ = snapshot;
+  view->has_configuration_ = true;
+  coordination::MemberUpdate member;
+  member.name_ = "h1";
+  member.incarnation_ = 7;
+  member.zone_ = "z1";
+  member.call_address_ = address;
+  view->members_ = {member};
+  view->placements_[{"svc", "z1"}] = {member, {member}};
+  view->assignments_[{"svc", "z1"}] = {"svc", "z1", Now() + std::chrono::hours(1), Time{}};
+  return view;
+}
+
+double ProcessorSeconds(int who) {
+  rusage usage{};
+  getrusage(who, &usage);
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+}
+
+int Main(double rate, double seconds, int data_tasks, bool post) {
+  Targets targets;
+  Samples samples;
+  entry::EntrySettings settings;
+  settings.name_ = "h1";
+  settings.incarnation_ = 7;
+  settings.zone_ = "z1";
+  settings.data_tasks_ = data_tasks;
+  entry::EntryCallbacks callbacks;
+  callbacks.call_end_ = [&](const entry::CallEnd& end) {
+    const std::lock_guard lock(samples.mutex_);
+    if (end.outcome_ == CallOutcome::kAnswered) {
+      samples.added_.push_back(ToMilliseconds(end.total_ - end.in_target_));
+    }
+    ++samples.codes_[std::string(ResultCodeName(end.code_))];
+  };
+  entry::EntryHost host(settings, callbacks);
+  const bool started = Recover(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(host.Start());
+        return true;
+      },
+      [](const Error& error) {
+        std::cerr << error.message_ << "\n";
+        return false;
+      });
+  if (!started) return 1;
+  host.SetView(MakeView(targets.addresses(), host.address()));
+  // The first calls warm the targets up.
+  Caller warmup;
+  warmup.address_ = host.address();
+  warmup.Run(500, 2);
+  {
+    const std::lock_guard lock(samples.mutex_);
+    samples.added_.clear();
+    samples.codes_.clear();
+  }
+  Caller caller;
+  caller.address_ = host.address();
+  caller.post_ = post;
+  caller.next_id_ = 1'000'000;
+  const double before = ProcessorSeconds(RUSAGE_SELF);
+  const double own_before = ProcessorSeconds(RUSAGE_THREAD);
+  caller.Run(rate, seconds);
+  const double used =
+      ProcessorSeconds(RUSAGE_SELF) - before - (ProcessorSeconds(RUSAGE_THREAD) - own_before);
+  const std::lock_guard lock(samples.mutex_);
+  KeyValues fields = {
+      {"event", "entry_bench"},
+      {"rate", std::to_string(static_cast<int>(rate))},
+      {"data_tasks", std::to_string(data_tasks)},
+      {"method", post ? "POST" : "GET"},
+      {"answered", std::to_string(samples.added_.size())},
+      {"answered_per_s", std::to_string(static_cast<double>(samples.added_.size()) / seconds)},
+      {"bad", std::to_string(caller.bad_)},
+      {"added_p50_ms", std::to_string(Percentile(samples.added_, 0.5))},
+      {"added_p99_ms", std::to_string(Percentile(samples.added_, 0.99))},
+      {"total_p50_ms", std::to_string(Percentile(caller.total_, 0.5))},
+      {"total_p99_ms", std::to_string(Percentile(caller.total_, 0.99))},
+      // Entry host and targets together.
+      {"cores", std::to_string(used / seconds)}};
+  for (const auto& [code, count] : samples.codes_) {
+    fields.emplace_back("code_" + code, std::to_string(count));
+  }
+  std::cout << FormatKeyValues(fields) << std::endl;
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace monsoonshelf::bench
+
+int main(int argc, char** argv) {
+  if (argc < 4) {
+    std::cerr << "usage: entry_bench CALLS_PER_SECOND SECONDS DATA_TASKS [POST]\n";
+    return 2;
+  }
+  return monsoonshelf::bench::Main(std::stod(argv[1]), std::stod(argv[2]), std::stoi(argv[3]),
+                                   argc > 4);
+}
--- a/src/entry/entry_types.h
+++ b/src/entry/entry_types.h
@@ -24,8 +24,6 @@
 inline constexpr int kMaxDepth = 19;
 inline constexpr int kDefaultRetryBudget = 1;
 inline constexpr int kMaxRetryBudget = 16;
-// The connections of a target are divided by the largest number of entry hosts.
-inline constexpr int kMaxEntryHosts = 64;
 // Bodies up to this size are buffered, so that a call can be sent again and is placed only when
 // its body has arrived.
 inline constexpr std::size_t kSmallBodyBytes = 64 * 1024;
@@ -40,6 +38,7 @@
   int data_tasks_ = 2;
   std::size_t max_header_bytes_ = 16 * 1024;
   std::size_t max_buffered_bytes_ = 32 << 20;  // Bodies of all calls.
+  int max_hosts_ = 64;  // Entry hosts that share the connections of a target.
   std::size_t max_queue_ = 256;                // Waiting calls per shard.
   Duration keep_time_ = std::chrono::seconds(5);
   Duration stop_time_ = std::chrono::seconds(30);  // Allowed time of a graceful stop.
--- a/src/entry/internal/router_shards.cc
+++ b/src/entry/internal/router_shards.cc
@@ -43,7 +43,7 @@
 
 int Router::ConnectionShare(const std::string& service) const {
   const auto* found = FindService(service);
-  return found == nullptr ? 1 : std::max(1, found->service_.connections_ / kMaxEntryHosts);
+  return found == nullptr ? 1 : std::max(1, found->service_.connections_ / settings_.max_hosts_);
 }
 
 bool Router::IsLocal(const ShardKey& key) const {
