--- /dev/null
+++ b/tests/standins/check.cc
@@ -0,0 +1,118 @@
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "base/key_value.h"
+#include "tests/standins/caller.h"
+#include "tests/standins/http_util.h"
+
+namespace monsoonshelf::standins {
+
+namespace {
+
+struct Verdict {
+  std::int64_t double_runs_ = 0;
+  std::int64_t false_not_run_ = 0;  // Reported as not run, but a target ran it.
+  std::int64_t missing_runs_ = 0;   // Reported as answered, but no target ran it.
+  std::int64_t late_zone_work_ = 0;
+  std::int64_t cold_overruns_ = 0;
+  std::int64_t probe_overruns_ = 0;
+  std::int64_t probes_ = 0;
+  std::int64_t executions_ = 0;
+  std::int64_t outcomes_ = 0;
+};
+
+bool ReadOutcomes(const std::string& path, std::map<std::string, std::string>& outcomes) {
+  std::ifstream file(path);
+  std::string line;
+  while (std::getline(file, line)) {
+    const auto fields = ParseKeyValues(line);
+    if (!fields || fields->size() != 2) {
+      std::cerr << path << ": malformed line: " << line << "\n";
+      return false;
+    }
+    outcomes[(*fields)[0].second] = (*fields)[1].second;
+  }
+  return file.eof();
+}
+
+bool AddReport(const std::string& address, std::map<std::string, int>& ledger, Verdict& verdict) {
+  int status = 0;
+  const std::string text = FetchText("GET", "http://" + address + "/control/report", &status);
+  const auto report = nlohmann::json::parse(text, nullptr, false);
+  if (status != 200 || !report.is_object()) {
+    std::cerr << "no report from " << address << "\n";
+    return false;
+  }
+  for (const auto& [id, runs] : report["ledger"].items()) ledger[id] += runs.get<int>();
+  verdict.late_zone_work_ += report["late_zone_work"].get<std::int64_t>();
+  verdict.cold_overruns_ += report["cold_overruns"].get<std::int64_t>();
+  verdict.probe_overruns_ += report["probe_overruns"].get<std::int64_t>();
+  verdict.probes_ += report["probes"].get<std::int64_t>();
+  verdict.executions_ += report["executions"].get<std::int64_t>();
+  return true;
+}
+
+void Compare(const std::map<std::string, std::string>& outcomes,
+             const std::map<std::string, int>& ledger, Verdict& verdict) {
+  for (const auto& [id, runs] : ledger) verdict.double_runs_ += runs > 1 ? 1 : 0;
+  for (const auto& [id, outcome] : outcomes) {
+    const bool ran = ledger.count(id) != 0;
+    if (outcome == "not_run" && ran) ++verdict.false_not_run_;
+    if (outcome == "answered" && !ran) ++verdict.missing_runs_;
+  }
+  verdict.outcomes_ = static_cast<std::int64_t>(outcomes.size());
+}
+
+}  // namespace
+
+int RunCheck(std::vector<std::string> args) {
+  namespace po = boost::program_options;
+  std::vector<std::string> files;
+  std::vector<std::string> targets;
+  po::options_description description("check options");
+  auto add = description.add_options();
+  add("outcomes", po::value(&files)->multitoken()->required(), "files written by callers");
+  add("targets", po::value(&targets)->multitoken()->required(),
+      "address of one target of each target process");
+  try {
+    po::variables_map values;
+    po::store(po::command_line_parser(args).options(description).run(), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n" << description;
+    return 2;
+  }
+  std::map<std::string, std::string> outcomes;
+  std::map<std::string, int> ledger;
+  Verdict verdict;
+  for (const auto& file : files) {
+    if (!ReadOutcomes(file, outcomes)) return 1;
+  }
+  for (const auto& target : targets) {
+    if (!AddReport(target, ledger, verdict)) return 1;
+  }
+  Compare(outcomes, ledger, verdict);
+  const bool ok = verdict.double_runs_ == 0 && verdict.false_not_run_ == 0 &&
+                  verdict.missing_runs_ == 0 && verdict.late_zone_work_ == 0 &&
+                  verdict.cold_overruns_ == 0 && verdict.probe_overruns_ == 0 &&
+                  verdict.outcomes_ > 0;
+  std::cout << FormatKeyValues({{"event", "check"},
+                                {"result", ok ? "ok" : "failed"},
+                                {"non_idempotent", std::to_string(verdict.outcomes_)},
+                                {"executions", std::to_string(verdict.executions_)},
+                                {"double_runs", std::to_string(verdict.double_runs_)},
+                                {"false_not_run", std::to_string(verdict.false_not_run_)},
+                                {"missing_runs", std::to_string(verdict.missing_runs_)},
+                                {"late_zone_work", std::to_string(verdict.late_zone_work_)},
+                                {"cold_overruns", std::to_string(verdict.cold_overruns_)},
+                                {"probes", std::to_string(verdict.probes_)},
+                                {"probe_overruns", std::to_string(verdict.probe_overruns_)}})
+            << std::endl;
+  return ok ? 0 : 1;
+}
+
+}  // namespace monsoonshelf::standins
