scripts: add the demo

Cause: the main job must run with one command. Change: scripts/demo.sh runs entry hosts, targets, callers and a platform stand-in as processes.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,127 @@
+#!/usr/bin/env bash
+# Runs entry hosts, targets, callers and a platform stand-in as plain processes on loopback, takes a
+# zone out and back, stops one entry host gracefully and kills another. Usage: demo.sh BUILD_DIR
+# Prints one line with the verdict; exits non-zero if an invariant was violated.
+set -euo pipefail
+build=$1
+product=$build/src/app/monsoonshelf
+standins=$build/tests/standins/monsoonshelf_standins
+out=${DEMO_OUT:-out/demo}
+seconds=24 rate=120
+base=${DEMO_PORT:-21000}
+platform=127.0.0.1:$base
+first_target=$((base + 100))
+started=()
+declare -A host_pid
+rm -rf "$out"; mkdir -p "$out"
+
+# Ends what this script started, by process id.
+cleanup() { for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done; }
+trap cleanup EXIT
+start() { local log=$1; shift; "$@" >"$out/$log" 2>&1 & started+=($!); last_pid=$!; }
+note() { echo "demo step=\"$1\" elapsed_s=$((SECONDS - begin))"; }
+fail() { echo "demo result=failed reason=\"$1\""; exit 1; }
+fetch() { curl -fsS --max-time 3 "$1" >/dev/null; }
+
+settings() { # NAME ZONE INDEX
+  cat >"$out/$1.toml" <<TOML
+name = "$1"
+zone = "$2"
+region = "adriatic"
+keep_seconds = 2
+stop_seconds = 20
+data_tasks = 2
+[listen]
+calls = "127.0.0.1:$((base + 10 + $3))"
+peers = "127.0.0.1:$((base + 30 + $3))"
+metrics = "127.0.0.1:$((base + 50 + $3))"
+[platform]
+address = "$platform"
+[peers]
+seeds = ["127.0.0.1:$((base + 31 + ($3 % 6)))"]
+[[peers.keys]]
+id = "demo"
+secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+[log]
+file = "$out/$1.log"
+TOML
+}
+
+begin=$SECONDS
+scripts/demo_records.sh "$first_target" >"$out/records.json"
+start platform.log "$standins" platform --port "$base" --records "$out/records.json"
+targets=()
+port=$first_target
+for service in summit-pages work-orders; do
+  for zone in a b c; do
+    for number in 1 2; do targets+=("$service-$zone$number,$zone,$port"); port=$((port + 1)); done
+  done
+done
+start targets.log "$standins" target --target "${targets[@]}" --service-ms 8
+entry=()
+index=0
+for zone in a b c; do
+  for number in 1 2; do
+    index=$((index + 1))
+    settings "host-$zone$number" "$zone" "$index"
+    start "host-$zone$number.out" "$product" run --settings "$out/host-$zone$number.toml"
+    host_pid[host-$zone$number]=$last_pid
+    entry+=("127.0.0.1:$((base + 10 + index))")
+  done
+done
+for address in "${entry[@]}"; do
+  ready=no
+  for _ in $(seq 100); do
+    if fetch "http://$address/monsoonshelf/v1/entry-hosts?service=summit-pages&zone=a" 2>/dev/null; then ready=yes; break; fi
+    sleep 0.1
+  done
+  [ $ready = yes ] || fail "entry host $address is not ready"
+done
+sleep 2
+note "all entry hosts are ready"
+
+callers=() outcomes=()
+for zone in a b c; do
+  outcomes+=("$out/outcomes-$zone")
+  start "caller-$zone.log" "$standins" caller --entry "${entry[@]}" --zone "$zone" --rate "$rate" \
+    --seconds "$seconds" --outcomes "$out/outcomes-$zone" --seed "1$index" \
+    --call summit-pages,GET,/page/1,6 work-orders,POST,/orders,3 summit-pages,GET,/pack/200000,0.2
+  callers+=("$last_pid")
+  index=$((index + 1))
+done
+control=http://127.0.0.1:$first_target/control
+sleep 4
+"$product" zone out b --platform "$platform" >"$out/zone-out.txt"
+fetch "$control/zone-out?zone=b"
+note "zone b is out"
+sleep 6
+fetch "$control/cold?zone=b"
+fetch "$control/zone-in?zone=b"
+"$product" zone in b --platform "$platform" >"$out/zone-in.txt"
+note "zone b is back with cold targets"
+sleep 3
+kill -TERM "${host_pid[host-a1]}"
+note "graceful stop of host-a1"
+sleep 4
+kill -KILL "${host_pid[host-c1]}"
+note "killed host-c1"
+wait "${host_pid[host-a1]}" || fail "host-a1 did not stop gracefully"
+note "host-a1 stopped"
+for pid in "${callers[@]}"; do wait "$pid" || fail "a caller got a wrong answer"; done
+note "callers are done"
+
+"$standins" check --outcomes "${outcomes[@]}" --targets "127.0.0.1:$first_target" >"$out/check.txt" || true
+for name in a2 b1 b2 c2; do kill -TERM "${host_pid[host-$name]}"; done
+for name in a2 b1 b2 c2; do wait "${host_pid[host-$name]}" || fail "host-$name did not stop gracefully"; done
+"$product" timeline "$out"/host-*.log --html "$out/timeline.html" >"$out/timeline.txt"
+sum() { cat "$out"/caller-*.log | grep -o "\b$1=[0-9]*" | awk -F= '{ total += $2 } END { print total + 0 }'; }
+value() { grep -o "\b$1=[a-z0-9]*" "$out/check.txt" | cut -d= -f2; }
+result=$(value result)
+wrong=$(sum wrong_answers)
+[ "$wrong" = 0 ] || result=failed
+echo "demo result=$result calls=$(sum calls) answered=$(sum answered) not_run=$(sum not_run)" \
+  "unknown=$(sum unknown) lost=$(sum lost) wrong_answers=$wrong double_runs=$(value double_runs)" \
+  "false_not_run=$(value false_not_run) missing_runs=$(value missing_runs)" \
+  "late_zone_work=$(value late_zone_work) cold_overruns=$(value cold_overruns)" \
+  "probe_overruns=$(value probe_overruns) seconds=$((SECONDS - begin)) timeline=$out/timeline.html"
+[ "$result" = ok ]
