coordination: add membership, configuration exchange, sessions, assignments and shard state

Change: state chart of a member, direct and indirect pings, suspicion with refutation, pushes of changes, digests in pings with transfers of differences; session renewal with read-back, take-over after observation and fencing, assignment objects per zone; shard state within a byte budget.

--- a/src/base/internal/result_codes.cc
+++ b/src/base/internal/result_codes.cc
@@ -75,6 +75,7 @@
     {ResultCode::kDuplicateAddress, "duplicate_address", "Two entry hosts use the same address."},
     {ResultCode::kPeerListInvalid, "peer_list_invalid",
      "The peer list names this host or is malformed."},
+    {ResultCode::kDuplicateName, "duplicate_name", "Two entry hosts use the same name."},
     {ResultCode::kPlatformUnreachable, "platform_unreachable", "The platform cannot be reached."},
     {ResultCode::kPlatformTimeout, "platform_timeout", "The platform did not answer in time."},
     {ResultCode::kPlatformConflict, "platform_conflict",
--- a/src/base/result_codes.h
+++ b/src/base/result_codes.h
@@ -58,6 +58,7 @@
   kLeaseLapsed = 552,
   kDuplicateAddress = 553,
   kPeerListInvalid = 554,
+  kDuplicateName = 555,
   // platform: 650-699
   kPlatformUnreachable = 650,
   kPlatformTimeout = 651,
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -29,7 +29,8 @@
   std::shared_ptr<const records::Record> record_;
 };
 
-// A version whose text failed validation. The text is kept so that peers with a newer schema get it.
+// A version whose text failed validation. The text is kept so that peers with a newer schema get
+// it.
 struct Rejected {
   Version version_ = 0;
   std::string text_;
--- a/src/configuration/internal/snapshot.cc
+++ b/src/configuration/internal/snapshot.cc
@@ -56,11 +56,12 @@
         service->second.targets_.push_back(
             {name, target.service_, target.zone_, target.address_, accepts});
       });
-  ForEach<records::Rule>(
-      configuration, Kind::kRule, [&](const std::string& name, const records::Rule& rule) {
-        const auto service = snapshot->services_.find(rule.service_);
-        if (service != snapshot->services_.end()) service->second.rules_.emplace_back(name, rule);
-      });
+  ForEach<records::Rule>(configuration, Kind::kRule,
+                         [&](const std::string& name, const records::Rule& rule) {
+                           const auto service = snapshot->services_.find(rule.service_);
+                           if (service != snapshot->services_.end())
+                             service->second.rules_.emplace_back(name, rule);
+                         });
   for (auto& [name, service] : snapshot->services_) {
     std::sort(service.rules_.begin(), service.rules_.end(), GoesBefore);
   }
--- a/src/configuration/tests/record_texts.h
+++ b/src/configuration/tests/record_texts.h
@@ -8,8 +8,8 @@
 
 inline std::string RecordText(const std::string& kind, const std::string& name,
                               const std::string& spec, int schema = 1) {
-  return R"({"kind":")" + kind + R"(","schema":)" + std::to_string(schema) + R"(,"name":")" +
-         name + R"(","spec":)" + spec + "}";
+  return R"({"kind":")" + kind + R"(","schema":)" + std::to_string(schema) + R"(,"name":")" + name +
+         R"(","spec":)" + spec + "}";
 }
 
 inline RecordVersion ZoneRecord(const std::string& name, Version version,
--- a/src/coordination/coordination_types.h
+++ b/src/coordination/coordination_types.h
@@ -50,7 +50,8 @@
   std::vector<dispatch::TargetKnowledge> targets_;
 };
 
-// Peer messages. An ack answers a ping with the same number.
+// Peer messages. An ack answers a ping with the same number; an ack with number 0 answers none and
+// only carries updates.
 struct Ping {
   std::uint64_t number_ = 0;
   ConfigurationDigest configuration_;
--- a/src/coordination/internal/configuration_exchange.cc
+++ b/src/coordination/internal/configuration_exchange.cc
@@ -3,12 +3,24 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/internal/membership.h"
+#include "coordination/internal/platform_link.h"
+
 namespace monsoonshelf::coordination::internal {
 
 namespace {
 
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(200);
-constexpr Duration kLastBackoff = std::chrono::seconds(5);
+// A push to four members that push it on reaches about 98% of a fleet at once; the digests in pings
+// bring it to the rest.
+constexpr std::size_t kPushFanOut = 4;
+// Larger batches come from lists and transfers, which the others have from there too.
+constexpr std::size_t kMaxPushedRecords = 16;
+// A message may have 64 KiB.
+constexpr std::size_t kMaxDeltaBytes = 40 * 1024;
+constexpr Duration kPullTimeout = std::chrono::milliseconds(500);
+constexpr int kPullAttempts = 3;
+// A whole transfer has about 400 KB at the design scale.
+constexpr Duration kFullPullInterval = std::chrono::seconds(10);
 
 std::vector<std::string> RecordKinds() {
   std::vector<std::string> kinds;
@@ -27,65 +39,200 @@
   return result;
 }
 
-}  // namespace
-
-void MergeRecords(Node& node, const std::vector<configuration::RecordVersion>& records,
-                  NodeOutput& output) {
+void MergeRecords(Step& step, const std::vector<configuration::RecordVersion>& records) {
+  auto& node = step.node_;
   for (const auto& record : records) {
     std::string reason;
     const auto outcome = configuration::Merge(node.configuration_, record, &reason);
-    if (outcome == configuration::MergeOutcome::kAccepted) output.configuration_changed_ = true;
-    if (outcome != configuration::MergeOutcome::kRejected) continue;
-    output.events_.push_back({{"event", "record_rejected"},
-                              {"kind", std::string(NameOf(records::kKindNames, record.key_.first))},
-                              {"name", record.key_.second},
-                              {"version", std::to_string(record.version_)},
-                              {"reason", reason}});
+    if (outcome == configuration::MergeOutcome::kStale) continue;
+    node.exchange_.accepted_.push_back(record);
+    if (outcome == configuration::MergeOutcome::kAccepted) {
+      step.output_.configuration_changed_ = true;
+      node.assignments_.ownership_dirty_ = true;
+      continue;
+    }
+    const auto code = node.configuration_.rejected_.at(record.key_).code_;
+    AddErrorEvent(step, "record_rejected", code,
+                  {{"kind", std::string(NameOf(records::kKindNames, record.key_.first))},
+                   {"name", record.key_.second},
+                   {"version", std::to_string(record.version_)},
+                   {"reason", reason}});
   }
 }
 
-void ContinueExchange(Node& node, Time now, NodeOutput& output) {
-  if (node.exchange_request_ != 0 || now < node.next_exchange_) return;
+void SetHasConfiguration(Step& step, const std::string& source) {
+  auto& exchange = step.node_.exchange_;
+  if (exchange.has_configuration_) return;
+  exchange.has_configuration_ = true;
+  step.output_.configuration_changed_ = true;
+  step.node_.assignments_.ownership_dirty_ = true;
+  AddEvent(step, "configuration_received",
+           {{"source", source},
+            {"version", std::to_string(step.node_.configuration_.highest_version_)}});
+}
+
+void SendPull(Step& step) {
+  auto& pull = *step.node_.exchange_.pull_;
+  pull.deadline_ = step.now_ + kPullTimeout;
+  ++pull.attempts_;
+  step.output_.peer_sends_.push_back({pull.address_, ConfigPull{pull.after_}});
+}
+
+bool IsEqual(const ConfigurationDigest& left, const ConfigurationDigest& right) {
+  return left.digest_ == right.digest_ && left.highest_version_ == right.highest_version_;
+}
+
+// What this host has and a peer lacks, as its whole delta after `after` shows.
+std::vector<configuration::RecordVersion> LackedByPeer(
+    const Node& node, Version after, const std::vector<configuration::RecordVersion>& delta) {
+  auto own = configuration::ChangesAfter(node.configuration_, after, kMaxDeltaBytes);
+  std::erase_if(own, [&](const auto& record) {
+    return std::any_of(delta.begin(), delta.end(), [&](const auto& other) {
+      return other.key_ == record.key_ && other.version_ >= record.version_;
+    });
+  });
+  return own;
+}
+
+}  // namespace
+
+ConfigurationDigest DigestOf(const Node& node) {
+  if (!node.exchange_.has_configuration_) return {};
+  return {node.configuration_.highest_version_, node.configuration_.digest_};
+}
+
+void ContinueExchange(Step& step) {
+  auto& exchange = step.node_.exchange_;
+  if (exchange.pull_ && step.now_ >= exchange.pull_->deadline_) {
+    if (exchange.pull_->attempts_ >= kPullAttempts) {
+      exchange.pull_.reset();
+    } else {
+      SendPull(step);
+    }
+  }
+  if (exchange.request_ != 0 || step.now_ < exchange.next_request_) return;
   PlatformRequest request;
-  request.id_ = node.exchange_request_ = node.next_request_++;
   request.kinds_ = RecordKinds();
-  if (node.watch_after_.has_value()) {
+  if (exchange.watch_after_.has_value()) {
     request.operation_ = PlatformOperation::kWatch;
-    request.version_ = *node.watch_after_;
-    request.timeout_ = node.settings_.watch_timeout_;
+    request.version_ = *exchange.watch_after_;
+    request.timeout_ = step.node_.settings_.watch_timeout_;
   } else {
     request.operation_ = PlatformOperation::kList;
     request.timeout_ = std::chrono::seconds(5);
   }
-  output.platform_requests_.push_back(std::move(request));
+  exchange.request_ = SendRequest(step, Purpose::kExchange, std::move(request), {});
+}
+
+Time NextExchangeTime(const Node& node) {
+  const auto& exchange = node.exchange_;
+  Time next = exchange.request_ == 0 ? exchange.next_request_ : kNever;
+  if (exchange.pull_) next = std::min(next, exchange.pull_->deadline_);
+  return next;
 }
 
-void OnExchangeReply(Node& node, const PlatformReply& reply, Time now, Random& random,
-                     NodeOutput& output) {
-  node.exchange_request_ = 0;
+void OnExchangeReply(Step& step, const PlatformReply& reply) {
+  auto& node = step.node_;
+  auto& exchange = node.exchange_;
+  exchange.request_ = 0;
   if (reply.code_ != ResultCode::kOk) {
-    // The platform no longer has the changes after the cursor, or the answer was unusable.
-    if (reply.code_ == ResultCode::kPlatformNotFound) node.watch_after_.reset();
-    node.exchange_backoff_ =
-        std::clamp(node.exchange_backoff_ * 2, Duration(kFirstBackoff), Duration(kLastBackoff));
-    std::uniform_int_distribution<std::int64_t> jitter(node.exchange_backoff_.count() / 2,
-                                                       node.exchange_backoff_.count());
-    node.next_exchange_ = now + Duration(jitter(random));
+    // The platform no longer has the changes after the cursor: start again with a list.
+    if (reply.code_ == ResultCode::kPlatformNotFound) exchange.watch_after_.reset();
+    exchange.next_request_ = step.now_ + exchange.backoff_.Next(step.random_);
     return;
   }
-  node.exchange_backoff_ = Duration::zero();
+  exchange.backoff_.Reset();
+  exchange.next_request_ = step.now_;
   auto records = ToRecords(reply.objects_);
   if (reply.operation_ == PlatformOperation::kList) {
     std::vector<configuration::RecordKey> listed;
     for (const auto& record : records) listed.push_back(record.key_);
-    const auto deleted =
-        configuration::DeletedByList(node.configuration_, listed, reply.version_);
+    const auto deleted = configuration::DeletedByList(node.configuration_, listed, reply.version_);
     records.insert(records.end(), deleted.begin(), deleted.end());
   }
-  MergeRecords(node, records, output);
-  node.has_configuration_ = true;
-  node.watch_after_ = std::max(node.watch_after_.value_or(0), reply.version_);
-  ContinueExchange(node, now, output);
+  MergeRecords(step, records);
+  exchange.from_platform_ = true;
+  SetHasConfiguration(step, "platform");
+  exchange.watch_after_ = std::max(exchange.watch_after_.value_or(0), reply.version_);
+}
+
+void CompareDigest(Step& step, const PeerMessage& message, const ConfigurationDigest& digest) {
+  auto& exchange = step.node_.exchange_;
+  const bool peer_has_none = digest.highest_version_ == 0;
+  if (peer_has_none || exchange.pull_) return;
+  const bool has = exchange.has_configuration_;
+  if (has && IsEqual(digest, DigestOf(step.node_))) {
+    exchange.agreed_version_ =
+        std::max(exchange.agreed_version_, step.node_.configuration_.highest_version_);
+    return;
+  }
+  exchange.pull_ = Pull{message.sender_,
+                        message.sender_address_,
+                        has ? exchange.agreed_version_ : 0,
+                        !has,
+                        Time{},
+                        0};
+  SendPull(step);
+}
+
+void OnConfigPush(Step& step, const ConfigPush& push) { MergeRecords(step, push.records_); }
+
+void OnConfigPull(Step& step, const PeerMessage& message, const ConfigPull& pull) {
+  // A part of a configuration must not pass for the whole.
+  if (!step.node_.exchange_.has_configuration_) return;
+  ConfigDelta delta;
+  delta.records_ = configuration::ChangesAfter(step.node_.configuration_, pull.after_,
+                                               kMaxDeltaBytes, &delta.more_);
+  delta.configuration_ = DigestOf(step.node_);
+  step.output_.peer_sends_.push_back({message.sender_address_, std::move(delta)});
+}
+
+void OnConfigDelta(Step& step, const PeerMessage& message, const ConfigDelta& delta) {
+  auto& exchange = step.node_.exchange_;
+  MergeRecords(step, delta.records_);
+  // Repeated parts are merged, but only the part that was asked for continues the transfer.
+  if (!exchange.pull_ || exchange.pull_->peer_ != message.sender_) return;
+  const Version after = exchange.pull_->after_;
+  if (!delta.records_.empty() && delta.records_.front().version_ <= after) return;
+  if (delta.more_ && !delta.records_.empty()) {
+    exchange.pull_->after_ = delta.records_.back().version_;
+    exchange.pull_->attempts_ = 0;
+    SendPull(step);
+    return;
+  }
+  const Pull pull = *exchange.pull_;
+  exchange.pull_.reset();
+  if (pull.full_) SetHasConfiguration(step, "peer");
+  if (!exchange.has_configuration_) return;
+  if (IsEqual(delta.configuration_, DigestOf(step.node_))) {
+    exchange.agreed_version_ =
+        std::max(exchange.agreed_version_, step.node_.configuration_.highest_version_);
+    return;
+  }
+  if (pull.full_) return;
+  auto lacked = LackedByPeer(step.node_, pull.after_, delta.records_);
+  if (!lacked.empty()) {
+    step.output_.peer_sends_.push_back({message.sender_address_, ConfigPush{std::move(lacked)}});
+  } else if (step.now_ >= exchange.next_full_pull_) {
+    // The difference is older than the last agreement: compare everything, at a limited rate.
+    exchange.next_full_pull_ =
+        step.now_ + Jitter(step.random_, kFullPullInterval / 2, kFullPullInterval);
+    exchange.pull_ = Pull{message.sender_, message.sender_address_, 0, true, Time{}, 0};
+    SendPull(step);
+  }
+}
+
+void PushAcceptedRecords(Step& step) {
+  auto& accepted = step.node_.exchange_.accepted_;
+  std::vector<configuration::RecordVersion> records = std::move(accepted);
+  accepted.clear();
+  if (records.empty() || records.size() > kMaxPushedRecords) return;
+  std::size_t bytes = 0;
+  for (const auto& record : records) bytes += record.text_.value_or("").size();
+  if (bytes > kMaxDeltaBytes) return;
+  for (const Member* member : RandomMembers(step, kPushFanOut, "")) {
+    step.output_.peer_sends_.push_back({member->update_.peer_address_, ConfigPush{records}});
+  }
 }
 
 }  // namespace monsoonshelf::coordination::internal
--- /dev/null
+++ b/src/coordination/internal/member_chart.cc
@@ -0,0 +1,31 @@
+#include "coordination/internal/member_chart.h"
+
+#include <cstdlib>
+#include <iostream>
+
+#include "embedded/member_chart_text.h"
+
+namespace monsoonshelf::coordination::internal {
+
+namespace {
+
+using Machine = statechart::Machine<MemberState, 4, MemberEvent, 4>;
+
+Machine LoadMachine() {
+  return Recover(
+      [] { return Machine::Load(kMemberChartText, kMemberStateNames, kMemberEventNames); },
+      // The text is embedded, so that only a faulty build ends here.
+      [](const Error& error) -> Machine {
+        std::cerr << "member chart: " << error.message_ << '\n';
+        std::abort();
+      });
+}
+
+}  // namespace
+
+const Machine& MemberMachine() {
+  static const Machine machine = LoadMachine();
+  return machine;
+}
+
+}  // namespace monsoonshelf::coordination::internal
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -2,58 +2,101 @@
 
 #include <algorithm>
 #include <type_traits>
+#include <utility>
 
+#include "coordination/internal/assignments.h"
 #include "coordination/internal/configuration_exchange.h"
+#include "coordination/internal/membership.h"
 #include "coordination/internal/node_state.h"
-#include "coordination/internal/ring.h"
+#include "coordination/internal/ownership.h"
+#include "coordination/internal/pings.h"
+#include "coordination/internal/platform_link.h"
+#include "coordination/internal/session.h"
+#include "coordination/internal/shard_exchange.h"
 
 namespace monsoonshelf::coordination {
 
 namespace {
 
-std::string RegionOf(const Node& node, const std::string& zone) {
-  const auto found = node.configuration_.entries_.find({records::Kind::kZone, zone});
-  if (found != node.configuration_.entries_.end() && found->second.record_ != nullptr) {
-    return std::get<records::Zone>(found->second.record_->spec_).region_;
-  }
-  return zone == node.settings_.zone_ ? node.settings_.region_ : "";
+using internal::Step;
+
+// A step this late means that the process was paused or starved.
+constexpr Duration kPauseLimit = std::chrono::milliseconds(500);
+constexpr Duration kMinTick = std::chrono::milliseconds(1);
+
+Time Due(const Node& node, Time now) {
+  return std::min({internal::NextPingTime(node), internal::NextExpiry(node),
+                   internal::NextExchangeTime(node), internal::NextSessionTime(node),
+                   internal::NextAssignmentTime(node, now), internal::NextShardExchangeTime(node),
+                   internal::NextOverdue(node), node.platform_.next_hosts_});
+}
+
+void NoticePause(Step& step) {
+  if (step.now_ <= step.node_.expected_step_ + kPauseLimit) return;
+  AddEvent(step, "paused",
+           {{"ms", std::to_string(ToMilliseconds(step.now_ - step.node_.expected_step_))}});
+  internal::ForgetPings(step);
 }
 
-template <typename Condition>
-std::vector<MemberUpdate> AliveWhere(const Node& node, const Condition& condition) {
-  std::vector<MemberUpdate> found;
-  for (const auto& [name, member] : node.members_) {
-    if (member.state_ == MemberState::kAlive && condition(member)) found.push_back(member);
+void DispatchReply(Step& step, const PlatformReply& reply) {
+  const auto request = internal::TakeRequest(step, reply);
+  if (!request) return;
+  switch (request->purpose_) {
+    case internal::Purpose::kExchange:
+      internal::OnExchangeReply(step, reply);
+      break;
+    case internal::Purpose::kHosts:
+      internal::OnHostsReply(step, reply);
+      break;
+    case internal::Purpose::kSessionPut:
+    case internal::Purpose::kSessionRead:
+    case internal::Purpose::kSessionDelete:
+      internal::OnSessionReply(step, *request, reply);
+      break;
+    default:
+      internal::OnAssignmentReply(step, *request, reply);
   }
-  return found;
 }
 
-// Members for a shard by zone, then region, then anywhere; each group by rendezvous hash.
-std::vector<MemberUpdate> Candidates(const Node& node, const std::string& service,
-                                     const std::string& zone, bool region_only) {
-  const std::string region = RegionOf(node, zone);
-  const auto distance = [&](const MemberUpdate& member) {
-    if (member.zone_ == zone) return 0;
-    return !region.empty() && RegionOf(node, member.zone_) == region ? 1 : 2;
-  };
-  auto members = AliveWhere(node, [&](const MemberUpdate& member) {
-    return !region_only || distance(member) < 2;
-  });
-  internal::SortForShard(members, service, zone);
-  std::stable_sort(members.begin(), members.end(), [&](const auto& left, const auto& right) {
-    return distance(left) < distance(right);
-  });
-  return members;
+// Does what is due, and ends the step.
+NodeOutput Finish(Step& step) {
+  Node& node = step.node_;
+  for (const auto& reply : internal::OverdueReplies(node, step.now_)) DispatchReply(step, reply);
+  internal::ExpireMembers(step);
+  internal::ContinuePings(step);
+  internal::ContinueHosts(step);
+  internal::ContinueExchange(step);
+  internal::ContinueSession(step);
+  internal::ContinueAssignments(step);
+  internal::ContinueShardExchange(step);
+  internal::PushFreshUpdates(step);
+  internal::PushAcceptedRecords(step);
+  node.expected_step_ = NextTick(node, step.now_);
+  return std::move(step.output_);
 }
 
-void TakeUpdates(Node& node, const std::vector<MemberUpdate>& updates, NodeOutput& output) {
-  for (const auto& update : updates) {
-    if (update.name_ == node.settings_.name_) continue;
-    node.members_[update.name_] = update;
-    output.members_changed_ = true;
-  }
+void OnLeaveMessage(Step& step, const PeerMessage& message) {
+  const auto member = step.node_.membership_.members_.find(message.sender_);
+  if (member == step.node_.membership_.members_.end()) return;
+  MemberUpdate update = member->second.update_;
+  update.state_ = MemberState::kLeaving;
+  internal::ApplyUpdates(step, {update});
 }
 
+struct BodyVisitor {
+  Step& step_;
+  const PeerMessage& message_;
+
+  void operator()(const Ping& body) const { internal::OnPing(step_, message_, body); }
+  void operator()(const Ack& body) const { internal::OnAck(step_, message_, body); }
+  void operator()(const PingRequest& body) const { internal::OnPingRequest(step_, message_, body); }
+  void operator()(const ConfigPush& body) const { internal::OnConfigPush(step_, body); }
+  void operator()(const ConfigPull& body) const { internal::OnConfigPull(step_, message_, body); }
+  void operator()(const ConfigDelta& body) const { internal::OnConfigDelta(step_, message_, body); }
+  void operator()(const ShardState& body) const { step_.output_.remote_shards_ = body.shards_; }
+  void operator()(const Leave& /*body*/) const { OnLeaveMessage(step_, message_); }
+};
+
 }  // namespace
 
 void NodeDeleter::operator()(Node* node) const { delete node; }
@@ -61,91 +104,127 @@
 NodePtr MakeNode(NodeSettings settings, Time now) {
   NodePtr node(new Node);
   node->settings_ = std::move(settings);
-  node->next_exchange_ = now;
   const auto& own = node->settings_;
-  node->members_[own.name_] = {own.name_, own.incarnation_,  0,
-                               MemberState::kAlive, own.zone_, own.peer_address_,
-                               own.call_address_};
+  node->started_ = node->expected_step_ = now;
+  node->membership_.self_ = {own.name_,         own.incarnation_, 0, MemberState::kAlive, own.zone_,
+                             own.peer_address_, own.call_address_};
+  // Silence counts from the start.
+  node->membership_.last_peer_heard_ = node->platform_.last_heard_ = now;
+  node->exchange_.next_request_ = node->platform_.next_hosts_ = now;
   return node;
 }
 
-NodeOutput OnStart(Node& node, Time now, Random& random) { return OnTick(node, now, random); }
-
-NodeOutput OnPeerMessage(Node& node, const PeerMessage& message, Time /*now*/,
-                         Random& /*random*/) {
-  NodeOutput output;
-  std::visit(
-      [&](const auto& body) {
-        if constexpr (requires { body.updates_; }) TakeUpdates(node, body.updates_, output);
-        if constexpr (requires { body.records_; }) {
-          internal::MergeRecords(node, body.records_, output);
-        }
-      },
-      message.body_);
-  return output;
+NodeOutput OnStart(Node& node, Time now, Random& random) {
+  Step step{node, now, random, {}};
+  internal::StartMembership(step);
+  internal::StartSession(step);
+  return Finish(step);
 }
 
-NodeOutput OnPlatformReply(Node& node, const PlatformReply& reply, Time now, Random& random) {
-  NodeOutput output;
-  if (reply.id_ == node.exchange_request_) {
-    internal::OnExchangeReply(node, reply, now, random, output);
+NodeOutput OnPeerMessage(Node& node, const PeerMessage& message, Time now, Random& random) {
+  Step step{node, now, random, {}};
+  NoticePause(step);
+  if (internal::AcceptSender(step, message)) {
+    std::visit(BodyVisitor{step, message}, message.body_);
   }
-  return output;
+  return Finish(step);
 }
 
-NodeOutput OnTick(Node& node, Time now, Random& /*random*/) {
-  NodeOutput output;
-  internal::ContinueExchange(node, now, output);
-  return output;
+NodeOutput OnPlatformReply(Node& node, const PlatformReply& reply, Time now, Random& random) {
+  Step step{node, now, random, {}};
+  NoticePause(step);
+  DispatchReply(step, reply);
+  return Finish(step);
 }
 
-Time NextTick(const Node& node, Time now) {
-  return std::max(now + std::chrono::milliseconds(10), node.next_exchange_);
+NodeOutput OnTick(Node& node, Time now, Random& random) {
+  Step step{node, now, random, {}};
+  NoticePause(step);
+  return Finish(step);
 }
 
-NodeOutput OnLeave(Node& node, Time /*now*/, Random& /*random*/) {
-  NodeOutput output;
-  node.members_[node.settings_.name_].state_ = MemberState::kLeaving;
-  output.members_changed_ = true;
-  return output;
+Time NextTick(const Node& node, Time now) { return std::max(now + kMinTick, Due(node, now)); }
+
+NodeOutput OnLeave(Node& node, Time now, Random& random) {
+  Step step{node, now, random, {}};
+  NoticePause(step);
+  if (node.membership_.self_.state_ != MemberState::kLeaving) {
+    internal::ChangeSelf(step, MemberState::kLeaving);
+    // The hosts of the zone take over its shards and must know first.
+    for (const auto& [name, member] : node.membership_.members_) {
+      const auto& update = member.update_;
+      if (update.zone_ != node.settings_.zone_ || update.state_ == MemberState::kGone) continue;
+      step.output_.peer_sends_.push_back({update.peer_address_, Leave{}});
+    }
+  }
+  return Finish(step);
 }
 
-void SetLocalShards(Node& /*node*/, std::vector<ShardLoad> /*shards*/, Time /*now*/) {}
+void SetLocalShards(Node& node, std::vector<ShardLoad> shards, Time /*now*/) {
+  internal::StoreLocalShards(node, std::move(shards));
+}
 
 const configuration::Configuration& ConfigurationOf(const Node& node) {
   return node.configuration_;
 }
 
 std::vector<MemberUpdate> Members(const Node& node) {
-  std::vector<MemberUpdate> members;
-  for (const auto& [name, member] : node.members_) members.push_back(member);
+  std::vector<MemberUpdate> members{node.membership_.self_};
+  for (const auto& [name, member] : node.membership_.members_) members.push_back(member.update_);
   return members;
 }
 
 std::optional<MemberUpdate> FindMember(const Node& node, const HostName& name) {
-  const auto found = node.members_.find(name);
-  if (found == node.members_.end()) return std::nullopt;
-  return found->second;
+  const auto& membership = node.membership_;
+  if (name == membership.self_.name_) return membership.self_;
+  const auto found = membership.members_.find(name);
+  if (found == membership.members_.end()) return std::nullopt;
+  return found->second.update_;
 }
 
-bool IsIsolated(const Node& /*node*/, Time /*now*/) { return false; }
+bool IsIsolated(const Node& node, Time now) {
+  const Time heard = std::max(node.membership_.last_peer_heard_, node.platform_.last_heard_);
+  return internal::KnowsPeers(node) && now >= heard + node.settings_.isolation_time_;
+}
 
-bool HasConfiguration(const Node& node) { return node.has_configuration_; }
+bool HasConfiguration(const Node& node) { return node.exchange_.has_configuration_; }
 
 std::optional<MemberUpdate> DispatcherOf(const Node& node, const std::string& service,
                                          const std::string& zone) {
-  auto members = Candidates(node, service, zone, true);
+  auto members = internal::DispatchersOfZone(node, zone);
   if (members.empty()) return std::nullopt;
+  internal::SortForShard(members, service, zone);
   return members.front();
 }
 
 std::vector<MemberUpdate> EntryHostsFor(const Node& node, const std::string& service,
                                         const std::string& zone, std::size_t max_hosts) {
-  auto members = Candidates(node, service, zone, false);
+  std::vector<MemberUpdate> members;
+  for (const auto& member : Members(node)) {
+    if (member.state_ == MemberState::kAlive) members.push_back(member);
+  }
+  internal::SortForShard(members, service, zone);
+  const std::string region = internal::RegionOf(node, zone);
+  const auto distance = [&](const MemberUpdate& member) {
+    if (member.zone_ == zone) return 0;
+    return !region.empty() && internal::RegionOf(node, member.zone_) == region ? 1 : 2;
+  };
+  std::stable_sort(members.begin(), members.end(), [&](const auto& left, const auto& right) {
+    return distance(left) < distance(right);
+  });
   if (members.size() > max_hosts) members.resize(max_hosts);
   return members;
 }
 
-std::vector<AssignmentView> HeldAssignments(const Node& /*node*/, Time /*now*/) { return {}; }
+std::vector<AssignmentView> HeldAssignments(const Node& node, Time now) {
+  std::vector<AssignmentView> views;
+  if (!internal::HasLease(node, now)) return views;
+  for (const auto& [shard, claim] : node.assignments_.held_) {
+    if (claim.session_ != node.session_.id_) continue;
+    views.push_back(
+        {shard.first, shard.second, node.session_.lease_until_, claim.predecessor_end_});
+  }
+  return views;
+}
 
 }  // namespace monsoonshelf::coordination
--- a/src/coordination/tests/ring_test.cc
+++ b/src/coordination/tests/ownership_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/internal/ring.h"
+#include "coordination/internal/ownership.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,8 +6,8 @@
 
 namespace monsoonshelf::coordination {
 
-class RingTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(RingTest);
+class OwnershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnershipTest);
   CPPUNIT_TEST(SpreadsShards);
   CPPUNIT_TEST(MovesOnlyShardsOfTheMemberThatLeft);
   CPPUNIT_TEST_SUITE_END();
@@ -43,6 +43,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(RingTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
 
 }  // namespace monsoonshelf::coordination
