--- a/src/coordination/internal/member_chart.cc
+++ b/src/coordination/internal/member_chart.cc
@@ -3,7 +3,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "member_chart_text.h"
+#include "embedded/member_chart_text.h"
 
 namespace monsoonshelf::coordination::internal {
 
