standins: link target, caller and check; share lint results

Cause: the demo needs one program with all stand-ins; a full lint took minutes in each work tree. Change: all stand-ins are subcommands of monsoonshelf_standins; lint results are kept by content in the user's cache, and missing headers no longer drop the header list from the key.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,20 +1,21 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over every source file. Usage: lint.sh BUILD_DIR JOBS
-# A file is skipped while the preprocessed text that was last found clean is unchanged.
+# A file is skipped while its text, its headers in the project and the checks are unchanged since it
+# was last found clean. The results are shared by all build folders of a user.
 set -euo pipefail
 build=$1 jobs=$2
-cache=$build/lint-clean
+cache=${XDG_CACHE_HOME:-$HOME/.cache}/monsoonshelf/lint
 mkdir -p "$cache"
 export build cache
 lint_one() {
   file=$1
-  key=$( { cat .clang-tidy "$file"; g++ -std=c++20 -MM -MT x -Isrc -I. -I"$build" "$file" 2>/dev/null \
+  key=$( { cat .clang-tidy "$file"; g++ -std=c++20 -MM -MG -MT x -Isrc -I. -I"$build" "$file" 2>/dev/null \
       | tr ' \\' '\n\n' | grep -E '\.h$' | sort -u | xargs -r cat 2>/dev/null; } | sha256sum | cut -c1-40)
   [ -e "$cache/$key" ] && return 0
-  if clang-tidy --quiet -p "$build" "$file" >"$cache/$key.log" 2>/dev/null; then
-    mv "$cache/$key.log" "$cache/$key"
+  if clang-tidy --quiet -p "$build" "$file" >"$cache/$key.$$" 2>/dev/null; then
+    mv "$cache/$key.$$" "$cache/$key"
   else
-    cat "$cache/$key.log"; rm -f "$cache/$key.log"; return 1
+    cat "$cache/$key.$$"; rm -f "$cache/$key.$$"; return 1
   fi
 }
 export -f lint_one
--- a/tests/standins/caller.cc
+++ b/tests/standins/caller.cc
@@ -1,5 +1,3 @@
-#include "tests/standins/caller.h"
-
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -13,6 +11,7 @@
 #include "base/key_value.h"
 #include "tests/standins/http_util.h"
 #include "tests/standins/pattern.h"
+#include "tests/standins/subcommands.h"
 
 namespace monsoonshelf::standins {
 
@@ -376,7 +375,7 @@
 
 }  // namespace
 
-int RunCaller(std::vector<std::string> args) {
+int RunCaller(const std::vector<std::string>& args) {
   namespace po = boost::program_options;
   CallerOptions& options = Process().options_;
   po::options_description description("caller options");
--- a/tests/standins/check.cc
+++ b/tests/standins/check.cc
@@ -6,8 +6,8 @@
 #include <set>
 
 #include "base/key_value.h"
-#include "tests/standins/caller.h"
 #include "tests/standins/http_util.h"
+#include "tests/standins/subcommands.h"
 
 namespace monsoonshelf::standins {
 
@@ -69,7 +69,7 @@
 
 }  // namespace
 
-int RunCheck(std::vector<std::string> args) {
+int RunCheck(const std::vector<std::string>& args) {
   namespace po = boost::program_options;
   std::vector<std::string> files;
   std::vector<std::string> targets;
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -6,9 +6,12 @@
 #include "tests/standins/subcommands.h"
 
 int main(int argc, char** argv) {
-  using Subcommand = int (*)(std::vector<std::string>);
+  using Subcommand = int (*)(const std::vector<std::string>&);
   const std::map<std::string, Subcommand> subcommands = {
+      {"caller", &monsoonshelf::standins::RunCaller},
+      {"check", &monsoonshelf::standins::RunCheck},
       {"platform", &monsoonshelf::standins::RunPlatform},
+      {"target", &monsoonshelf::standins::RunTarget},
   };
   std::vector<std::string> args(argv + 1, argv + argc);
   const auto found = args.empty() ? subcommands.end() : subcommands.find(args.front());
@@ -19,5 +22,5 @@
     return 2;
   }
   args.erase(args.begin());
-  return found->second(std::move(args));
+  return found->second(args);
 }
--- a/tests/standins/platform_command.cc
+++ b/tests/standins/platform_command.cc
@@ -67,8 +67,7 @@
 
 }  // namespace
 
-// NOLINTNEXTLINE(performance-unnecessary-value-param): the type of all subcommands.
-int RunPlatform(std::vector<std::string> args) {
+int RunPlatform(const std::vector<std::string>& args) {
   try {
     const auto options = Options();
     po::variables_map values;
--- a/tests/standins/target.cc
+++ b/tests/standins/target.cc
@@ -1,5 +1,3 @@
-#include "tests/standins/target.h"
-
 #include <glib-unix.h>
 
 #include <boost/program_options.hpp>
@@ -12,6 +10,7 @@
 
 #include "tests/standins/http_util.h"
 #include "tests/standins/pattern.h"
+#include "tests/standins/subcommands.h"
 
 namespace monsoonshelf::standins {
 
@@ -21,7 +20,7 @@
 // Work that was on its way when a target turned cold, or when a zone was taken out, is no fault.
 constexpr std::int64_t kColdGrace = 50 * kMillisecond;
 constexpr std::int64_t kZoneOutGrace = 3000 * kMillisecond;
-constexpr std::size_t kChunkBytes = 64 * 1024;
+constexpr std::size_t kChunkBytes = 65'536;
 
 struct TargetOptions {
   int slots_ = 2;
@@ -202,9 +201,8 @@
   TargetServer& target = *static_cast<TargetServer*>(data);
   const std::string id =
       HeaderOf(soup_server_message_get_request_headers(message), "Monsoonshelf-Call-Id");
-  const std::size_t in_flight = target.running_ + target.waiting_.size();
-  if (target.draining_ ||
-      in_flight >= static_cast<std::size_t>(target.options_.slots_ + target.options_.backlog_)) {
+  const int in_flight = target.running_ + static_cast<int>(target.waiting_.size());
+  if (target.draining_ || in_flight >= target.options_.slots_ + target.options_.backlog_) {
     Refuse(target, message, id);
     return;
   }
@@ -320,7 +318,7 @@
 
 }  // namespace
 
-int RunTarget(std::vector<std::string> args) {
+int RunTarget(const std::vector<std::string>& args) {
   namespace po = boost::program_options;
   TargetOptions options;
   std::vector<std::string> targets;
