--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -15,8 +15,6 @@
 struct ControlFactories {
   std::function<std::unique_ptr<platform::IPlatformClient>()> platform_client_;
   std::function<std::unique_ptr<peer::IPeerTransport>()> peer_transport_;
-  // Adds the counters of the two clients to a cost. May be empty.
-  std::function<void(platform::IPlatformClient&, peer::IPeerTransport&, ControlCost&)> add_cost_;
 };
 
 // Thread with its own main context that owns the coordination node, the platform client and the
@@ -30,7 +28,7 @@
   ControlTask& operator=(const ControlTask&) = delete;
 
   // Starts the thread and waits until the peer listener is open; a first view has been published
-  // by then. Error: kPeerSocket.
+  // by then. A peer address with port 0 gets the port of the listener. Error: kPeerSocket.
   Result<void> Start();
 
   // Load of the shards that this host dispatches, for other hosts.
@@ -39,6 +37,9 @@
   // Begins the graceful stop: the host is no longer named to callers and gives up its assignments.
   void Leave();
 
+  // Replaces the keys for peer messages. The first one signs; all are accepted.
+  void SetKeys(std::vector<peer::Key> keys);
+
   // Ends the thread. No callback runs after it returns.
   void Stop();
 
--- a/src/control/control_types.h
+++ b/src/control/control_types.h
@@ -38,6 +38,7 @@
   Incarnation incarnation_ = 0;
   std::string zone_;
   std::string region_;
+  std::string peer_address_;
   std::shared_ptr<const configuration::Snapshot> snapshot_;  // Never null.
   std::vector<coordination::MemberUpdate> members_;
   std::shared_ptr<const Placements> placements_;  // Never null.
--- a/src/platform/internal/soup_client.h
+++ b/src/platform/internal/soup_client.h
@@ -29,7 +29,7 @@
   void Send(const coordination::PlatformRequest& request, Callback callback) override;
   void Close() override;
 
-  const ClientCounters& Counters() const { return counters_; }
+  const ClientCounters& Counters() const override { return counters_; }
 
  private:
   struct Call;
--- a/src/platform/iplatform_client.h
+++ b/src/platform/iplatform_client.h
@@ -3,6 +3,7 @@
 #include <functional>
 
 #include "coordination/coordination_types.h"
+#include "platform/platform_types.h"
 
 namespace monsoonshelf::platform {
 
@@ -18,6 +19,8 @@
 
   // Ends all waiting requests without callbacks.
   virtual void Close() = 0;
+
+  virtual const ClientCounters& Counters() const = 0;
 };
 
 }  // namespace monsoonshelf::platform
--- a/src/platform/platform_setup.h
+++ b/src/platform/platform_setup.h
@@ -15,9 +15,6 @@
 // Error: kSettingsInvalidValue if the address is not an IP address with a port.
 Result<std::unique_ptr<IPlatformClient>> MakeClient(ClientSettings settings);
 
-// Counters of a client made by MakeClient.
-const ClientCounters& CountersOf(const IPlatformClient& client);
-
 // Blocking access for command-line use. Each call waits at most `timeout`.
 // Errors: kPlatformUnreachable, kPlatformTimeout (a write may have been applied),
 // kPlatformInvalidAnswer, and those named below.
--- a/src/platform/tests/client_test.cc
+++ b/src/platform/tests/client_test.cc
@@ -128,7 +128,7 @@
     client_->Send(request, [&callbacks](const PlatformReply&) { callbacks++; });
     CPPUNIT_ASSERT(Get("service", "a").code_ == ResultCode::kOk);  // Takes longer than both.
     CPPUNIT_ASSERT_EQUAL(1, callbacks);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, CountersOf(*client_).timeouts_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->Counters().timeouts_);
   }
 
   // Guards against a stale read that lets an outdated writer win.
@@ -161,7 +161,7 @@
     Watch(0, Duration(0));
     CPPUNIT_ASSERT(Get("service", "a").code_ == ResultCode::kPlatformBudgetSpent);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Counter("get"));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, CountersOf(*client_).refused_by_budget_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->Counters().refused_by_budget_);
   }
 
   // Guards against names that change the path of a call.
@@ -171,7 +171,7 @@
     }
     const std::string large(kMaxObjectBytes + 1, 'x');
     CPPUNIT_ASSERT(Put("service", "a", 0, large).code_ == ResultCode::kRecordTooLarge);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, CountersOf(*client_).calls_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, client_->Counters().calls_);
     for (const char* address : {"localhost:80", "127.0.0.1", "", "127.0.0.1:0"}) {
       const bool made = Recover(
           [&]() -> Result<bool> {
