--- /dev/null
+++ b/src/peer/internal/nng_transport.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <gio/gio.h>
+#include <nng/nng.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peer/internal/envelope.h"
+#include "peer/internal/replay_guard.h"
+#include "peer/ipeer_transport.h"
+#include "peer/peer_setup.h"
+
+namespace monsoonshelf::peer::detail {
+
+struct GObjectDeleter {
+  void operator()(void* object) const { g_object_unref(object); }
+};
+using Network = std::unique_ptr<GInetAddressMask, GObjectDeleter>;
+
+// Push and pull sockets over TCP. A peer message is one-way and needs no answer from the socket:
+// push/pull keeps no state per message, the pull side takes any number of peers on one listener,
+// and a push socket per peer address keeps a peer that hangs from delaying the others.
+class NngTransport : public IPeerTransport {
+ public:
+  NngTransport(TransportSettings settings, std::vector<Network> networks);
+  ~NngTransport() override;
+  NngTransport(const NngTransport&) = delete;
+  NngTransport& operator=(const NngTransport&) = delete;
+
+  Result<void> Start(Handler handler) override;
+  void Send(const coordination::PeerSend& send) override;
+  void Stop() override;
+  std::string ListenAddress() const override { return settings_.address_; }
+  void SetKeys(std::vector<Key> keys) override { settings_.keys_ = std::move(keys); }
+  const PeerCounters& Counters() const override { return counters_; }
+
+ private:
+  struct Outgoing {
+    nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+    Time last_used_{};
+  };
+
+  Result<void> Listen();
+  Result<void> WatchListener();
+  static gboolean OnReadable(gint descriptor, GIOCondition condition, gpointer data);
+  void Receive();
+  ResultCode Deliver(nng_msg* message);
+  bool IsFromNetwork(nng_msg* message) const;
+  nng_socket* FindSocket(const std::string& address, Time now);
+  void CloseUnused(Time now, Duration time);
+
+  TransportSettings settings_;
+  std::vector<Network> networks_;
+  GMainContext* context_;
+  GSource* readable_ = nullptr;
+  nng_socket listener_ = NNG_SOCKET_INITIALIZER;
+  bool listening_ = false;
+  Handler handler_;
+  std::map<std::string, Outgoing> outgoing_;
+  std::uint64_t sequence_ = 0;
+  ReplayGuard guard_;
+  PeerCounters counters_;
+};
+
+}  // namespace monsoonshelf::peer::detail
--- a/src/peer/ipeer_transport.h
+++ b/src/peer/ipeer_transport.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "coordination/coordination_types.h"
+#include "peer/peer_types.h"
 
 namespace monsoonshelf::peer {
 
@@ -22,6 +24,14 @@
   virtual void Send(const coordination::PeerSend& send) = 0;
 
   virtual void Stop() = 0;
+
+  // The address on which it listens; with the port that the kernel chose for port 0.
+  virtual std::string ListenAddress() const = 0;
+
+  // Replaces the keys while messages flow. The first one signs; all are accepted.
+  virtual void SetKeys(std::vector<Key> keys) = 0;
+
+  virtual const PeerCounters& Counters() const = 0;
 };
 
 }  // namespace monsoonshelf::peer
--- a/src/peer/peer_setup.h
+++ b/src/peer/peer_setup.h
@@ -14,19 +14,20 @@
 struct TransportSettings {
   HostName name_;
   Incarnation incarnation_ = 0;
-  std::string address_;         // IP address and port to listen on; announced to peers.
-  std::vector<Key> keys_;       // The first one signs; all are accepted.
+  std::string address_;  // IP address and port to listen on and to announce; port 0: any.
+  // The first one signs; all are accepted. Identifiers have 1 to 32 bytes, secrets at least 16.
+  std::vector<Key> keys_;
   std::size_t max_peers_ = 96;  // Outgoing sockets; the one unused for longest is closed first.
+  // Networks, such as 192.0.2.0/24, from which messages are taken; empty: any. The shared key
+  // decides who is a member, since entry hosts can be replaced at any time.
+  std::vector<std::string> networks_ = {};
 };
 
+// Checks keys before they are passed to SetKeys. Error: kSettingsInvalidValue.
+Result<void> CheckKeys(const std::vector<Key>& keys);
+
 // Makes a transport that delivers on the thread-default main context of the calling thread.
 // Error: kSettingsInvalidValue.
 Result<std::unique_ptr<IPeerTransport>> MakeTransport(TransportSettings settings);
 
-// Counters of a transport made by MakeTransport.
-const PeerCounters& CountersOf(const IPeerTransport& transport);
-
-// Replaces the keys while the transport runs.
-void SetKeys(IPeerTransport& transport, std::vector<Key> keys);
-
 }  // namespace monsoonshelf::peer
--- a/src/peer/peer_types.h
+++ b/src/peer/peer_types.h
@@ -11,7 +11,7 @@
 namespace monsoonshelf::peer {
 
 // Largest peer message, envelope and signature included.
-inline constexpr std::size_t kMaxMessageBytes = 64 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = 65536;
 
 // Shared secret of the entry hosts.
 struct Key {
@@ -24,7 +24,8 @@
   std::uint64_t messages_out_ = 0;
   std::uint64_t bytes_in_ = 0;  // Messages as sent, without TCP and nng framing.
   std::uint64_t bytes_out_ = 0;
-  std::uint64_t dropped_out_ = 0;  // Not sent: no connection, queue full or too large.
+  std::uint64_t dropped_out_ = 0;     // Not sent: no connection, queue full or too large.
+  std::size_t outgoing_sockets_ = 0;  // Open now.
   std::map<ResultCode, std::uint64_t> rejected_;
 };
 
--- /dev/null
+++ b/src/peer/tests/transport_test.cc
@@ -0,0 +1,204 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <gio/gio.h>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <functional>
+
+#include "base/clock.h"
+#include "peer/internal/envelope.h"
+#include "peer/peer_setup.h"
+
+namespace monsoonshelf::peer {
+
+using coordination::PeerMessage;
+
+// Transports on real sockets with ports chosen by the kernel.
+class TransportTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TransportTest);
+  CPPUNIT_TEST(DeliversInBothDirections);
+  CPPUNIT_TEST(FindsAPeerThatRestartedUnderItsAddress);
+  CPPUNIT_TEST(CountsAndDropsWhatItMustNotHear);
+  CPPUNIT_TEST(RotatesKeysWithoutAStop);
+  CPPUNIT_TEST(BoundsOutgoingSockets);
+  CPPUNIT_TEST(RejectsInvalidSettings);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    context_ = g_main_context_new();
+    g_main_context_push_thread_default(context_);
+  }
+
+  void tearDown() override {
+    g_main_context_pop_thread_default(context_);
+    g_main_context_unref(context_);
+  }
+
+  // Guards against a transport that only talks one way.
+  void DeliversInBothDirections() {
+    Host a({"a", 1, "127.0.0.1:0", {kNew}});
+    Host b({"b", 2, "127.0.0.1:0", {kNew}});
+    a.transport_->Send({b.Address(), coordination::ConfigPull{7}});
+    Until([&b] { return b.received_.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), b.received_[0].sender_);
+    CPPUNIT_ASSERT_EQUAL(Incarnation{1}, b.received_[0].incarnation_);
+    CPPUNIT_ASSERT(std::get<coordination::ConfigPull>(b.received_[0].body_).after_ == 7);
+    b.transport_->Send({b.received_[0].sender_address_, coordination::Leave{}});
+    Until([&a] { return a.received_.size() == 1; });
+    CPPUNIT_ASSERT(a.transport_->Counters().bytes_out_ == b.transport_->Counters().bytes_in_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, b.transport_->Counters().messages_out_);
+  }
+
+  // Guards against sockets that stay with the process that is gone.
+  void FindsAPeerThatRestartedUnderItsAddress() {
+    Host a({"a", 1, "127.0.0.1:0", {kNew}});
+    auto b = std::make_unique<Host>(TransportSettings{"b", 2, "127.0.0.1:0", {kNew}});
+    const std::string address = b->Address();
+    a.transport_->Send({address, coordination::Leave{}});
+    Until([&b] { return b->received_.size() == 1; });
+    b.reset();
+    b = std::make_unique<Host>(TransportSettings{"b", 3, address, {kNew}});
+    Until([&] {
+      if (b->received_.empty()) a.transport_->Send({address, coordination::Leave{}});
+      return !b->received_.empty();
+    });
+  }
+
+  // Guards against acting on messages that are replayed, unsigned, damaged or meant for others.
+  void CountsAndDropsWhatItMustNotHear() {
+    Host b({"b", 2, "127.0.0.1:0", {kNew}});
+    nng_socket raw = NNG_SOCKET_INITIALIZER;
+    CPPUNIT_ASSERT_EQUAL(0, nng_push0_open(&raw));
+    CPPUNIT_ASSERT_EQUAL(0, nng_dial(raw, ("tcp://" + b.Address()).c_str(), nullptr, 0));
+    const auto make = [&b](const char* sender, std::uint64_t sequence) {
+      return detail::Envelope{sender,   "127.0.0.1:1",      b.Address(),          1,
+                              sequence, WallMicroseconds(), coordination::Leave{}};
+    };
+    const auto good = make("a", 1);
+    auto old = make("a", 2);
+    old.sent_time_ -= 3600LL * 1000 * 1000;
+    auto elsewhere = make("a", 3);
+    elsewhere.destination_ = "127.0.0.1:2";
+    auto nowhere = make("a", 4);
+    nowhere.sender_address_ = "localhost:1";
+    std::string damaged = detail::Encode(make("a", 5), kNew);
+    damaged.back() = static_cast<char>(damaged.back() ^ 1);
+    const std::pair<std::string, ResultCode> messages[] = {
+        {detail::Encode(good, kNew), ResultCode::kOk},
+        {detail::Encode(good, kNew), ResultCode::kPeerMessageReplayed},
+        {detail::Encode(old, kNew), ResultCode::kPeerMessageReplayed},
+        {detail::Encode(elsewhere, kNew), ResultCode::kPeerMessageReplayed},
+        {detail::Encode(nowhere, kNew), ResultCode::kPeerUnknownSender},
+        {detail::Encode(make("b", 6), kNew), ResultCode::kPeerUnknownSender},
+        {detail::Encode(make("a", 7), kOld), ResultCode::kPeerMessageUnsigned},
+        {damaged, ResultCode::kPeerMessageUnsigned},
+        {"", ResultCode::kPeerMessageMalformed},
+        {std::string(kMaxMessageBytes + 1, '\x01'), ResultCode::kPeerMessageTooLarge},
+    };
+    std::map<ResultCode, std::uint64_t> expected;
+    std::uint64_t sent = 0;
+    for (const auto& [message, code] : messages) {
+      if (code != ResultCode::kOk) expected[code]++;
+      sent++;
+      CPPUNIT_ASSERT_EQUAL(0, nng_send(raw, const_cast<char*>(message.data()), message.size(), 0));
+      Until([&] { return b.transport_->Counters().messages_in_ == sent; });
+      CPPUNIT_ASSERT_MESSAGE(std::string(ResultCodeName(code)),
+                             expected == b.transport_->Counters().rejected_);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, b.received_.size());
+    nng_close(raw);
+  }
+
+  // Guards against a rotation during which hosts do not hear each other.
+  void RotatesKeysWithoutAStop() {
+    Host a({"a", 1, "127.0.0.1:0", {kOld}});
+    Host b({"b", 2, "127.0.0.1:0", {kOld}});
+    const std::vector<Key> steps[] = {{kOld, kNew}, {kNew, kOld}, {kNew}};
+    std::size_t count = 0;
+    for (const auto& keys : steps) {
+      for (Host* changed : {&a, &b}) {
+        changed->transport_->SetKeys(keys);
+        count++;
+        a.transport_->Send({b.Address(), coordination::Leave{}});
+        b.transport_->Send({a.Address(), coordination::Leave{}});
+        Until([&] { return a.received_.size() == count && b.received_.size() == count; });
+      }
+    }
+  }
+
+  // Guards against one socket per address that was ever heard of.
+  void BoundsOutgoingSockets() {
+    TransportSettings settings{"a", 1, "127.0.0.1:0", {kNew}};
+    settings.max_peers_ = 2;
+    Host a(settings);
+    Host b({"b", 2, "127.0.0.1:0", {kNew}});
+    for (std::size_t round = 1; round <= 3; round++) {
+      a.transport_->Send({b.Address(), coordination::Leave{}});
+      Until([&] { return b.received_.size() == round; });
+      for (const char* address : {"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}) {
+        a.transport_->Send({address, coordination::Leave{}});
+        CPPUNIT_ASSERT(a.transport_->Counters().outgoing_sockets_ <= 2);
+      }
+    }
+    a.transport_->Send({"localhost:1", coordination::Leave{}});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, a.transport_->Counters().dropped_out_);
+  }
+
+  // Guards against a start with settings that leave the host deaf or open.
+  void RejectsInvalidSettings() {
+    const TransportSettings valid{"a", 1, "127.0.0.1:0", {kNew}, 8, {"127.0.0.0/8"}};
+    CPPUNIT_ASSERT(IsAccepted(valid));
+    auto settings = valid;
+    settings.address_ = "localhost:1";
+    CPPUNIT_ASSERT(!IsAccepted(settings));
+    settings = valid;
+    settings.keys_ = {};
+    CPPUNIT_ASSERT(!IsAccepted(settings));
+    settings.keys_ = {{"k", "short"}};
+    CPPUNIT_ASSERT(!IsAccepted(settings));
+    settings = valid;
+    settings.networks_ = {"not a network"};
+    CPPUNIT_ASSERT(!IsAccepted(settings));
+  }
+
+ private:
+  static inline const Key kNew{"new", "0123456789abcdef"};
+  static inline const Key kOld{"old", "fedcba9876543210"};
+
+  struct Host {
+    explicit Host(const TransportSettings& settings) {
+      auto transport = MakeTransport(settings);
+      CPPUNIT_ASSERT(transport);
+      transport_ = std::move(*transport);
+      CPPUNIT_ASSERT(
+          transport_->Start([this](const PeerMessage& message) { received_.push_back(message); }));
+    }
+    std::string Address() const { return transport_->ListenAddress(); }
+
+    std::vector<PeerMessage> received_;
+    std::unique_ptr<IPeerTransport> transport_;
+  };
+
+  static bool IsAccepted(const TransportSettings& settings) {
+    return Recover(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(MakeTransport(settings));
+          return true;
+        },
+        [](const Error&) { return false; });
+  }
+
+  // Runs the main context until the condition holds. The timeout of ctest ends a hang.
+  void Until(const std::function<bool()>& condition) {
+    while (!condition()) {
+      if (g_main_context_iteration(context_, FALSE) == FALSE) g_usleep(1000);
+    }
+  }
+
+  GMainContext* context_ = nullptr;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TransportTest);
+
+}  // namespace monsoonshelf::peer
