--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs every measurement, one command per line. Usage: bench.sh BUILD_DIR
+set -euo pipefail
+build=$1
+"$build/bench/monsoonshelf_bench"
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,6 +45,10 @@
                        SendResult result, const std::optional<LoadReport>& report, Time now,
                        Random& random, bool* call_finished);
 
+// The answer of a target or of another shard says how many retries are left for the call tree;
+// calls below this one may have used some. Call it before OnSendFinished or OnForwardRefused.
+void OnRetryBudgetReturned(Dispatcher& dispatcher, CallHandle call, int retry_budget);
+
 // A forwarded call came back as not run; the dispatcher queues, places or refuses it.
 Actions OnForwardRefused(Dispatcher& dispatcher, CallHandle call, const std::string& zone, Time now,
                          Random& random);
--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -183,6 +183,16 @@
   return Settle(dispatcher, now, random);
 }
 
+void OnRetryBudgetReturned(Dispatcher& dispatcher, CallHandle call, int retry_budget) {
+  const auto lower = [retry_budget](WaitingCall& waiting) {
+    waiting.call_.retry_budget_ = std::min(waiting.call_.retry_budget_, retry_budget);
+  };
+  const auto sent = dispatcher.sent_.find(call);
+  if (sent != dispatcher.sent_.end()) lower(sent->second.waiting_);
+  const auto forwarded = dispatcher.forwarded_.find(call);
+  if (forwarded != dispatcher.forwarded_.end()) lower(forwarded->second.waiting_);
+}
+
 Actions OnForwardRefused(Dispatcher& dispatcher, CallHandle call, const std::string& zone, Time now,
                          Random& random) {
   now = Advance(dispatcher, now);
