--- a/src/records/internal/json_text.cc
+++ b/src/records/internal/json_text.cc
@@ -44,14 +44,19 @@
                                                  " bytes, allowed are at most " +
                                                  std::to_string(kMaxRecordBytes));
   }
+  // The parser takes a NUL character for the end of the text.
+  if (text.find('\0') != std::string_view::npos) {
+    return Fail(ResultCode::kRecordSyntax, "record is not valid JSON: it has a NUL character");
+  }
   StructureCheck check;
   Json json;
   try {
     json = Json::parse(text, std::ref(check));
   } catch (const Json::exception& exception) {
     // The library reports the position only through its exception.
+    const std::string_view what = exception.what();
     return Fail(ResultCode::kRecordSyntax,
-                std::string("record is not valid JSON: ") + exception.what());
+                "record is not valid JSON: " + std::string(what.substr(what.find(']') + 2)));
   }
   if (check.too_deep_) {
     return Fail(ResultCode::kRecordSyntax,
