--- a/src/metrics/internal/metrics_state.cc
+++ b/src/metrics/internal/metrics_state.cc
@@ -28,8 +28,8 @@
 
 // Seconds. Steps of 0.1 ms around the limit of 0.72 ms for 99 in 100 calls.
 const prometheus::Histogram::BucketBoundaries kAddedBuckets = {
-    0.0001, 0.0002, 0.0003, 0.0004, 0.0005, 0.0006, 0.00072, 0.0009, 0.0012,
-    0.0016, 0.002,  0.003,  0.004,  0.005,  0.01,   0.05,    0.25,   1.0};
+    0.0001, 0.0002, 0.0003, 0.0004, 0.0005, 0.00055, 0.00072, 0.0009, 0.0012,
+    0.0016, 0.002,  0.003,  0.004,  0.005,  0.01,    0.05,    0.25,   1.0};
 const prometheus::Histogram::BucketBoundaries kTotalBuckets = {
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0};
 
