--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -85,7 +85,7 @@
     stop_ = true;
     thread_.join();
   }
-  const std::vector<std::string>& addresses() const { return addresses_; }
+  const std::vector<std::string>& Addresses() const { return addresses_; }
 
  private:
   void Run() {
@@ -287,10 +287,10 @@
         return false;
       });
   if (!started) return 1;
-  host.SetView(MakeView(targets.addresses(), host.address()));
+  host.SetView(MakeView(targets.Addresses(), host.Address()));
   // The first calls warm the targets up.
   Caller warmup;
-  warmup.address_ = host.address();
+  warmup.address_ = host.Address();
   warmup.Run(500, 2);
   {
     const std::lock_guard lock(samples.mutex_);
@@ -298,7 +298,7 @@
     samples.codes_.clear();
   }
   Caller caller;
-  caller.address_ = host.address();
+  caller.address_ = host.Address();
   caller.post_ = post;
   caller.next_id_ = 1'000'000;
   const double before = ProcessorSeconds(RUSAGE_SELF);
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -28,9 +28,9 @@
   // Starts to listen. Errors: kListenFailed, kChartInvalid, kChartSyntax.
   Result<void> Start();
   // IP address and port of the listener, after Start.
-  const std::string& address() const { return address_; }
+  const std::string& Address() const { return address_; }
 
-  void SetView(EntryViewPtr view);
+  void SetView(const EntryViewPtr& view);
   void SetRemoteShards(std::vector<coordination::ShardLoad> shards);
 
   // Begins the graceful stop. `done` is called once, on a thread of the entry host.
--- a/src/entry/entry_types.h
+++ b/src/entry/entry_types.h
@@ -26,9 +26,9 @@
 inline constexpr int kMaxRetryBudget = 16;
 // Bodies up to this size are buffered, so that a call can be sent again and is placed only when
 // its body has arrived.
-inline constexpr std::size_t kSmallBodyBytes = 64 * 1024;
+inline constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
 // One piece of a streamed body. One piece per call and direction is held at a time.
-inline constexpr std::size_t kChunkBytes = 64 * 1024;
+inline constexpr std::size_t kChunkBytes = std::size_t{64} * 1024;
 
 struct EntrySettings {
   HostName name_;
@@ -36,10 +36,10 @@
   std::string zone_;
   std::string listen_address_ = "127.0.0.1:0";  // IP address and port; port 0 is chosen by the OS.
   int data_tasks_ = 2;
-  std::size_t max_header_bytes_ = 16 * 1024;
-  std::size_t max_buffered_bytes_ = 32 << 20;  // Bodies of all calls.
-  int max_hosts_ = 64;  // Entry hosts that share the connections of a target.
-  std::size_t max_queue_ = 256;                // Waiting calls per shard.
+  std::size_t max_header_bytes_ = std::size_t{16} * 1024;
+  std::size_t max_buffered_bytes_ = std::size_t{32} << 20;  // Bodies of all calls.
+  int max_hosts_ = 64;           // Entry hosts that share the connections of a target.
+  std::size_t max_queue_ = 256;  // Waiting calls per shard.
   Duration keep_time_ = std::chrono::seconds(5);
   Duration stop_time_ = std::chrono::seconds(30);  // Allowed time of a graceful stop.
   outcomes::OutcomeTableLimits outcomes_;
@@ -109,7 +109,7 @@
   }
   FileDescriptor(const FileDescriptor&) = delete;
   FileDescriptor& operator=(const FileDescriptor&) = delete;
-  int get() const { return descriptor_; }
+  int Get() const { return descriptor_; }
 
  private:
   int descriptor_;
--- a/src/entry/internal/caller_responses.cc
+++ b/src/entry/internal/caller_responses.cc
@@ -123,7 +123,8 @@
   Respond(call, std::move(response));
 }
 
-void CallerSide::Head(CallHandle handle, std::size_t sender, SendId send, ResponseHead head) {
+void CallerSide::Head(CallHandle handle, std::size_t sender, SendId send,
+                      const ResponseHead& head) {
   const CallPtr call = Find(handle);
   if (call == nullptr) return;
   call->sender_ = sender;
--- a/src/entry/internal/caller_side.cc
+++ b/src/entry/internal/caller_side.cc
@@ -266,7 +266,7 @@
 void CallerSide::FillPipe(const CallPtr& call) {
   std::size_t done = 0;
   while (done < call->pipe_pending_.size()) {
-    const auto count = write(call->pipe_->get(), call->pipe_pending_.data() + done,
+    const auto count = write(call->pipe_->Get(), call->pipe_pending_.data() + done,
                              call->pipe_pending_.size() - done);
     if (count > 0) {
       done += static_cast<std::size_t>(count);
@@ -291,7 +291,7 @@
   }
   Pause(*call);
   if (call->pipe_source_ == nullptr) {
-    call->pipe_source_ = g_unix_fd_source_new(call->pipe_->get(), G_IO_OUT);
+    call->pipe_source_ = g_unix_fd_source_new(call->pipe_->Get(), G_IO_OUT);
     auto* data = new std::pair<CallerSide*, CallHandle>(this, call->handle_);
     g_source_set_callback(
         call->pipe_source_, G_SOURCE_FUNC(&CallerSide::OnPipeReady), data,
--- a/src/entry/internal/caller_side.h
+++ b/src/entry/internal/caller_side.h
@@ -36,7 +36,7 @@
   void Accept(GSocketConnection* connection);
 
   void Whole(CallHandle call, WholeResponse response);
-  void Head(CallHandle call, std::size_t sender, SendId send, ResponseHead head);
+  void Head(CallHandle call, std::size_t sender, SendId send, const ResponseHead& head);
   void Chunk(CallHandle call, const std::string& bytes);
   void End(CallHandle call, bool complete);
   void Refuse(CallHandle call, const Refusal& refusal);
--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -118,12 +118,12 @@
     client_ = std::make_unique<SoupTargetClient>(*probes_);
     client_pointer_ = client_.get();
     relay_->SetClient(*client_);
-    sweep_ = std::make_unique<Timer>(task_.context(), [this] { OnSweep(); });
+    sweep_ = std::make_unique<Timer>(task_.Context(), [this] { OnSweep(); });
   });
 }
 
 void DataTask::Stop() {
-  if (!task_.running()) return;
+  if (!task_.IsRunning()) return;
   task_.PostAndWait([this] {
     sweep_.reset();
     callers_.reset();
@@ -131,7 +131,7 @@
     probes_.reset();
     relay_.reset();
     // Lets libsoup finish the operations that were cancelled.
-    while (g_main_context_iteration(task_.context(), FALSE)) {
+    while (g_main_context_iteration(task_.Context(), FALSE)) {
     }
   });
   task_.Stop();
@@ -239,7 +239,7 @@
 void DataTask::Report(SendReport report) { dispatch_->SendEnd(std::move(report)); }
 
 void DataTask::ArmSweep() {
-  if (!sweep_->active()) sweep_->Set(Now() + kSweepInterval);
+  if (!sweep_->IsActive()) sweep_->Set(Now() + kSweepInterval);
 }
 
 void DataTask::OnSweep() {
--- a/src/entry/internal/dispatch_task.cc
+++ b/src/entry/internal/dispatch_task.cc
@@ -29,14 +29,14 @@
 DispatchTask::~DispatchTask() { Stop(); }
 
 void DispatchTask::Start() {
-  tick_ = std::make_unique<Timer>(task_.context(), [this] { OnTick(); });
-  summary_ = std::make_unique<Timer>(task_.context(), [this] { OnSummary(); });
+  tick_ = std::make_unique<Timer>(task_.Context(), [this] { OnTick(); });
+  summary_ = std::make_unique<Timer>(task_.Context(), [this] { OnSummary(); });
   task_.Start();
   task_.Post([this] { OnSummary(); });
 }
 
 void DispatchTask::Stop() {
-  if (!task_.running()) return;
+  if (!task_.IsRunning()) return;
   task_.PostAndWait([this] {
     tick_.reset();
     summary_.reset();
@@ -94,7 +94,8 @@
 }
 
 void DispatchTask::Send(SendOrder order) {
-  SenderFor(order.request_.address_).StartSend(std::move(order));
+  DataTask& sender = SenderFor(order.request_.address_);
+  sender.StartSend(std::move(order));
 }
 
 void DispatchTask::CancelSend(const std::string& address, SendId send) {
@@ -126,7 +127,7 @@
   const Time next = router_->NextTick(now);
   if (next == Time::max()) {
     tick_->Clear();
-  } else if (!tick_->active() || tick_->at() != next) {
+  } else if (!tick_->IsActive() || tick_->At() != next) {
     tick_->Set(std::max(next, now + kMinTick));
   }
 }
--- a/src/entry/internal/entry_host.cc
+++ b/src/entry/internal/entry_host.cc
@@ -57,19 +57,19 @@
     }
     dispatch_.Connect(tasks);
     for (auto* task : tasks) task->Connect(tasks, &dispatch_);
-    timer_ = std::make_unique<Timer>(task_.context(), [this] { OnTimer(); });
+    timer_ = std::make_unique<Timer>(task_.Context(), [this] { OnTimer(); });
     for (auto* task : tasks) task->Start();
     dispatch_.Start();
     task_.Start();
     task_.PostAndWait([this] {
-      listener_->Start(task_.context(), [this](std::shared_ptr<GSocketConnection> connection) {
+      listener_->Start(task_.Context(), [this](std::shared_ptr<GSocketConnection> connection) {
         data_tasks_[next_++ % data_tasks_.size()]->Accept(std::move(connection));
       });
     });
-    return listener_->address();
+    return listener_->Address();
   }
 
-  void SetView(EntryViewPtr view) {
+  void SetView(const EntryViewPtr& view) {
     // The order matters: data tasks take calls only when the dispatch task knows the view.
     dispatch_.SetView(view);
     for (auto& task : data_tasks_) task->SetView(view);
@@ -95,7 +95,7 @@
   }
 
   void Stop() {
-    if (!task_.running()) return;
+    if (!task_.IsRunning()) return;
     task_.PostAndWait([this] {
       listener_.reset();
       timer_.reset();
@@ -202,7 +202,7 @@
   return {};
 }
 
-void EntryHost::SetView(EntryViewPtr view) { impl_->SetView(std::move(view)); }
+void EntryHost::SetView(const EntryViewPtr& view) { impl_->SetView(view); }
 
 void EntryHost::SetRemoteShards(std::vector<coordination::ShardLoad> shards) {
   impl_->SetRemoteShards(std::move(shards));
--- a/src/entry/internal/listener.h
+++ b/src/entry/internal/listener.h
@@ -21,7 +21,7 @@
   ~Listener();
 
   // Address with the port that was chosen.
-  const std::string& address() const { return address_; }
+  const std::string& Address() const { return address_; }
   void Start(GMainContext* context, Handler handler);
   // Accepts what has arrived. Returns the number of connections.
   std::size_t AcceptAll();
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -69,7 +69,7 @@
   bool BeginAtHome(RoutedCall& call, std::int64_t now_minute, Time now);
   void ForwardHome(RoutedCall& call, Time now);
   void AnswerRepeat(CallHandle handle, const outcomes::FinishedCall& finished);
-  void FinishAtHome(const RoutedCall& call, outcomes::FinishedCall finished);
+  void FinishAtHome(const RoutedCall& call, const outcomes::FinishedCall& finished);
 
   void Place(RoutedCall& call, Time now);
   void PlaceLocally(RoutedCall& call, const ShardKey& key, bool forwarded, Time now);
--- a/src/entry/internal/router_home.cc
+++ b/src/entry/internal/router_home.cc
@@ -119,7 +119,7 @@
   port_.Respond(handle, std::move(response));
 }
 
-void Router::FinishAtHome(const RoutedCall& call, outcomes::FinishedCall finished) {
+void Router::FinishAtHome(const RoutedCall& call, const outcomes::FinishedCall& finished) {
   const CallHead& head = *call.arrival_.head_;
   outcomes::Finish(*outcomes_, *head.parsed_id_, finished);
   const auto waiting = repeats_.find(head.call_id_);
--- a/src/entry/internal/soup_target_client.cc
+++ b/src/entry/internal/soup_target_client.cc
@@ -58,7 +58,7 @@
     g_bytes_unref(bytes);
   } else if (request.body_.pipe_ != nullptr) {
     // A descriptor of its own: another send may read the pipe if this one gets no connection.
-    const int descriptor = fcntl(request.body_.pipe_->get(), F_DUPFD_CLOEXEC, 0);
+    const int descriptor = fcntl(request.body_.pipe_->Get(), F_DUPFD_CLOEXEC, 0);
     GObjectPtr<GInputStream> stream(g_unix_input_stream_new(descriptor, TRUE));
     soup_message_set_request_body(message, nullptr, stream.get(), request.body_length_);
   }
--- a/src/entry/internal/task.h
+++ b/src/entry/internal/task.h
@@ -46,8 +46,8 @@
   }
 
   bool IsCurrent() const { return std::this_thread::get_id() == id_.load(); }
-  bool running() const { return thread_.joinable(); }
-  GMainContext* context() const { return context_; }
+  bool IsRunning() const { return thread_.joinable(); }
+  GMainContext* Context() const { return context_; }
 
  private:
   struct MailboxSource;
@@ -80,8 +80,8 @@
   // Replaces the time. The callback runs once, at `at` at the earliest.
   void Set(Time at);
   void Clear();
-  bool active() const { return active_; }
-  Time at() const { return at_; }
+  bool IsActive() const { return active_; }
+  Time At() const { return at_; }
 
  private:
   struct TimerSource;
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -41,9 +41,9 @@
         [](const Error&) { return false; });
   }
 
-  EntryHost& host() { return *host_; }
-  const std::string& address() { return host_->address(); }
-  bool started() const { return started_; }
+  EntryHost& Host() { return *host_; }
+  const std::string& Address() { return host_->Address(); }
+  bool Started() const { return started_; }
   void DestroyHost() { host_.reset(); }
 
   // The view that `Publish` sends; tests change it before.
@@ -84,9 +84,9 @@
     snapshot->zones_["z1"] = {};
     view_.snapshot_ = snapshot;
     view_.has_configuration_ = true;
-    if (view_.members_.empty()) view_.members_ = {Member("h1", address())};
+    if (view_.members_.empty()) view_.members_ = {Member("h1", Address())};
     auto& placement = view_.placements_[{"svc", "z1"}];
-    if (!placement.dispatcher_) placement.dispatcher_ = Member("h1", address());
+    if (!placement.dispatcher_) placement.dispatcher_ = Member("h1", Address());
     if (placement.entry_hosts_.empty()) placement.entry_hosts_ = {*placement.dispatcher_};
     view_.assignments_[{"svc", "z1"}] = {"svc", "z1", Now() + std::chrono::hours(1), Time{}};
     host_->SetView(std::make_shared<EntryView>(view_));
@@ -101,17 +101,18 @@
   struct Answer {
     std::string head_;
     std::string body_;
-    int status() const { return head_.size() > 12 ? std::stoi(head_.substr(9, 3)) : 0; }
+    int Status() const { return head_.size() > 12 ? std::stoi(head_.substr(9, 3)) : 0; }
     std::string Header(const std::string& name) const { return HeaderOf(head_, name); }
-    std::string outcome() const { return Header("Monsoonshelf-Outcome"); }
-    std::string code() const { return Header("Monsoonshelf-Result-Code"); }
+    std::string Outcome() const { return Header("Monsoonshelf-Outcome"); }
+    std::string Code() const { return Header("Monsoonshelf-Result-Code"); }
   };
 
   static std::string Request(const std::string& method, const std::string& path,
                              const std::string& headers = "", const std::string& body = "") {
-    return method + " " + path + " HTTP/1.1\r\nHost: entry\r\n" + headers +
-           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-           "\r\n" + body;
+    std::string text = method;
+    text.append(" ").append(path).append(" HTTP/1.1\r\nHost: entry\r\n").append(headers);
+    if (!body.empty()) text.append("Content-Length: " + std::to_string(body.size()) + "\r\n");
+    return text.append("\r\n").append(body);
   }
 
   static Answer ReadAnswer(Connection& connection) {
@@ -124,7 +125,7 @@
 
   Answer Call(const std::string& method, const std::string& path, const std::string& headers = "",
               const std::string& body = "") {
-    Connection connection = Connection::To(address());
+    Connection connection = Connection::To(Address());
     connection.Write(Request(method, path, headers, body));
     return ReadAnswer(connection);
   }
--- a/src/entry/tests/entry_host_test.cc
+++ b/src/entry/tests/entry_host_test.cc
@@ -14,17 +14,17 @@
   void ServesCallsAndNamesHosts() {
     FakeTarget target(EchoHandler);
     EntryFixture entry;
-    CPPUNIT_ASSERT(entry.started());
-    CPPUNIT_ASSERT_EQUAL(503, entry.Call("GET", "/s/svc/a").status());
-    entry.targets_ = {target.address()};
+    CPPUNIT_ASSERT(entry.Started());
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call("GET", "/s/svc/a").Status());
+    entry.targets_ = {target.Address()};
     entry.Publish();
     const auto read = entry.Call("GET", "/s/svc/a/b?c=%20d");
     CPPUNIT_ASSERT_EQUAL(std::string("GET /a/b?c=%20d|"), read.body_);
-    CPPUNIT_ASSERT_EQUAL(std::string("answered"), read.outcome());
-    CPPUNIT_ASSERT_EQUAL(std::string("0"), read.code());
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"), read.Outcome());
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), read.Code());
     const auto write = entry.Post(entry.NewId(), "stamp");
     CPPUNIT_ASSERT_EQUAL(std::string("POST /work|stamp"), write.body_);
-    Connection kept = Connection::To(entry.address());
+    Connection kept = Connection::To(entry.Address());
     for (int i = 0; i < 3; ++i) {
       kept.Write(EntryFixture::Request("GET", "/s/svc/kept"));
       const auto answer = EntryFixture::ReadAnswer(kept);
@@ -32,7 +32,7 @@
     }
     const auto hosts = entry.Call("GET", "/monsoonshelf/v1/entry-hosts?service=svc&zone=z1");
     CPPUNIT_ASSERT(hosts.body_.find("\"ticket\":\"h1.7.") != std::string::npos);
-    CPPUNIT_ASSERT(hosts.body_.find(entry.address()) != std::string::npos);
+    CPPUNIT_ASSERT(hosts.body_.find(entry.Address()) != std::string::npos);
   }
 };
 
--- a/src/entry/tests/mocks/fake_target.h
+++ b/src/entry/tests/mocks/fake_target.h
@@ -38,7 +38,7 @@
     return Connection(descriptor);
   }
 
-  bool ok() const { return descriptor_ >= 0; }
+  bool IsOpen() const { return descriptor_ >= 0; }
   void Close() {
     if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
   }
@@ -109,7 +109,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    (void)bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
     listen(listener_, 64);
     socklen_t size = sizeof address;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
@@ -124,8 +124,8 @@
     for (auto& thread : threads_) thread.join();
   }
 
-  const std::string& address() const { return address_; }
-  int connections() const { return connections_; }
+  const std::string& Address() const { return address_; }
+  int Connections() const { return connections_; }
 
  private:
   void Accept() {
