control: run the coordination node on real sockets

The session object now carries the peer address, from which the platform stand-in makes its host list.

--- a/src/control/control_setup.h
+++ b/src/control/control_setup.h
@@ -16,8 +16,10 @@
   // The incarnation 0 is replaced by the wall clock at the start, in microseconds.
   coordination::NodeSettings node_;
   platform::ClientSettings platform_;
-  std::vector<peer::Key> keys_;    // The first one signs; all are accepted.
-  std::uint64_t random_seed_ = 0;  // 0: taken from the system.
+  std::vector<peer::Key> keys_;             // The first one signs; all are accepted.
+  std::size_t max_peers_ = 96;              // As in peer::TransportSettings.
+  std::vector<std::string> networks_ = {};  // As in peer::TransportSettings.
+  std::uint64_t random_seed_ = 0;           // 0: taken from the system.
 };
 
 // Starts control with libsoup and nng. Error: kPeerSocket, kSettingsInvalidValue.
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -13,12 +13,13 @@
 
 // Makes the clients on the control thread, with its main context as the thread default.
 struct ControlFactories {
-  std::function<std::unique_ptr<platform::IPlatformClient>()> platform_client_;
-  std::function<std::unique_ptr<peer::IPeerTransport>()> peer_transport_;
+  std::function<Result<std::unique_ptr<platform::IPlatformClient>>()> platform_client_;
+  std::function<Result<std::unique_ptr<peer::IPeerTransport>>()> peer_transport_;
 };
 
 // Thread with its own main context that owns the coordination node, the platform client and the
-// peer transport. All functions may be called from any thread; they post a message to the task.
+// peer transport. Start and Stop are called by the owner; the other
+// functions may be called from any thread and post a message to the task.
 class ControlTask {
  public:
   ControlTask(coordination::NodeSettings settings, std::uint64_t random_seed,
@@ -28,7 +29,8 @@
   ControlTask& operator=(const ControlTask&) = delete;
 
   // Starts the thread and waits until the peer listener is open; a first view has been published
-  // by then. A peer address with port 0 gets the port of the listener. Error: kPeerSocket.
+  // by then. A peer address with port 0 gets the port of the listener. Errors: kPeerSocket and
+  // those of the factories.
   Result<void> Start();
 
   // Load of the shards that this host dispatches, for other hosts.
@@ -38,9 +40,10 @@
   void Leave();
 
   // Replaces the keys for peer messages. The first one signs; all are accepted.
-  void SetKeys(std::vector<peer::Key> keys);
+  // Error: kSettingsInvalidValue; the keys stay as they were.
+  Result<void> SetKeys(std::vector<peer::Key> keys);
 
-  // Ends the thread. No callback runs after it returns.
+  // Ends the thread. No callback runs after it returns. Not to be called from a callback.
   void Stop();
 
  private:
--- /dev/null
+++ b/src/control/internal/control_setup.cc
@@ -0,0 +1,40 @@
+#include "control/control_setup.h"
+
+#include <random>
+#include <utility>
+
+#include "base/clock.h"
+#include "peer/peer_setup.h"
+#include "platform/platform_setup.h"
+
+namespace monsoonshelf::control {
+
+namespace {
+
+std::uint64_t SystemSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ControlTask>> StartControl(ControlSettings settings,
+                                                  ControlCallbacks callbacks) {
+  auto& node = settings.node_;
+  // The wall clock increases from start to start; a restart takes longer than a microsecond.
+  if (node.incarnation_ == 0) node.incarnation_ = static_cast<Incarnation>(WallMicroseconds());
+  const peer::TransportSettings transport{node.name_,     node.incarnation_,   node.peer_address_,
+                                          settings.keys_, settings.max_peers_, settings.networks_};
+  ControlFactories factories;
+  factories.platform_client_ = [platform = settings.platform_] {
+    return platform::MakeClient(platform);
+  };
+  factories.peer_transport_ = [transport] { return peer::MakeTransport(transport); };
+  auto task = std::make_unique<ControlTask>(
+      node, settings.random_seed_ != 0 ? settings.random_seed_ : SystemSeed(), std::move(factories),
+      std::move(callbacks));
+  BOOST_LEAF_CHECK(task->Start());
+  return task;
+}
+
+}  // namespace monsoonshelf::control
--- a/src/coordination/internal/session.cc
+++ b/src/coordination/internal/session.cc
@@ -52,6 +52,7 @@
   json body = json::parse(
       FormatSession({node.settings_.name_, node.settings_.incarnation_, session.id_, "", nonce}));
   body["zone"] = node.settings_.zone_;
+  body["peer_address"] = node.settings_.peer_address_;
   body["status"] = Status(node);
   PlatformRequest request;
   request.operation_ = PlatformOperation::kPut;
--- a/src/platform/tests/client_test.cc
+++ b/src/platform/tests/client_test.cc
@@ -204,7 +204,7 @@
     const Time start = Now();
     const Duration lag = std::chrono::seconds(2);
     const Duration window = std::chrono::seconds(8);
-    const std::string body = R"({"peer_address":"127.0.0.1:9","leaving":true})";
+    const std::string body = R"({"peer_address":"127.0.0.1:9","status":{"state":"leaving"}})";
     standins::Write(store, {"sessions", "h1"}, 0, body, start);
     CPPUNIT_ASSERT(ListHosts(store, start, lag, window).empty());
     const auto hosts = ListHosts(store, start + lag, lag, window);
--- a/tests/standins/platform_store.cc
+++ b/tests/standins/platform_store.cc
@@ -17,6 +17,18 @@
   return stored;
 }
 
+// Entry hosts describe themselves in their session objects. The real platform knows its machines
+// from elsewhere and may lack the address.
+coordination::PlatformReply::Host ReadHost(const PlatformObject& session) {
+  const auto body = nlohmann::json::parse(session.body_, nullptr, false);
+  const auto text = [&body](const nlohmann::json::json_pointer& path) -> std::string {
+    if (!body.is_object() || !body.contains(path) || !body[path].is_string()) return "";
+    return body[path].get<std::string>();
+  };
+  using Path = nlohmann::json::json_pointer;
+  return {session.name_, text(Path("/peer_address")), text(Path("/status/state")) == "leaving"};
+}
+
 }  // namespace
 
 WriteResult Write(PlatformStore& store, const ObjectKey& key, Version expected,
@@ -63,10 +75,7 @@
   std::vector<coordination::PlatformReply::Host> hosts;
   for (const auto& [name, object] : latest) {
     if (object->deleted_) continue;
-    const auto body = nlohmann::json::parse(object->body_, nullptr, false);
-    const bool readable = body.is_object();
-    hosts.push_back({name, readable ? body.value("peer_address", std::string()) : std::string(),
-                     readable && body.value("leaving", false)});
+    hosts.push_back(ReadHost(*object));
   }
   return hosts;
 }
