--- a/src/entry/internal/caller_side.cc
+++ b/src/entry/internal/caller_side.cc
@@ -65,9 +65,12 @@
   sockaddr_un address{};
   address.sun_family = AF_UNIX;
   // A length without a path: the kernel chooses an abstract name.
-  bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(sa_family_t));
-  listen(descriptor, 1);
-  GObjectPtr<GSocket> socket(g_socket_new_from_fd(descriptor, nullptr));
+  const int bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(sa_family_t));
+  if (bound != 0 || listen(descriptor, 1) != 0) {
+    close(descriptor);
+    return;
+  }
+  const GObjectPtr<GSocket> socket(g_socket_new_from_fd(descriptor, nullptr));
   GError* error = nullptr;
   soup_server_listen_socket(server, socket.get(), static_cast<SoupServerListenOptions>(0), &error);
   const GErrorPtr owner(error);
