--- /dev/null
+++ b/src/app/internal/platform_store.cc
@@ -0,0 +1,56 @@
+#include "app/internal/platform_store.h"
+
+#include <thread>
+
+#include "platform/platform_setup.h"
+
+namespace monsoonshelf::app {
+
+namespace {
+
+// A person's command is no steady load; the budget only stops a runaway loop.
+constexpr double kCallsPerSecond = 50;
+constexpr double kCallBurst = 100;
+
+class PlatformStore : public IRecordStore {
+ public:
+  explicit PlatformStore(std::unique_ptr<platform::SyncClient> client)
+      : client_(std::move(client)) {}
+
+  Result<coordination::PlatformObject> Get(const std::string& kind,
+                                           const std::string& name) override {
+    return client_->Get(kind, name);
+  }
+  Result<coordination::PlatformObject> Put(const std::string& kind, const std::string& name,
+                                           Version version, const std::string& body) override {
+    return client_->Put(kind, name, version, body);
+  }
+  Result<void> Delete(const std::string& kind, const std::string& name, Version version) override {
+    return client_->Delete(kind, name, version);
+  }
+  Result<Listing> List(const std::vector<std::string>& kinds) override {
+    BOOST_LEAF_AUTO(listing, client_->List(kinds));
+    return Listing{std::move(listing.objects_), listing.version_};
+  }
+  Result<Listing> Watch(const std::vector<std::string>& kinds, Version after,
+                        Duration hold) override {
+    BOOST_LEAF_AUTO(listing, client_->Watch(kinds, after, hold));
+    return Listing{std::move(listing.objects_), listing.version_};
+  }
+  coordination::PlatformObject LastConflict() const override { return client_->LastConflict(); }
+  void Pause(Duration duration) override { std::this_thread::sleep_for(duration); }
+
+ private:
+  std::unique_ptr<platform::SyncClient> client_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<IRecordStore>> MakePlatformStore(const std::string& address,
+                                                        Duration timeout) {
+  BOOST_LEAF_AUTO(client,
+                  platform::SyncClient::Make({address, kCallsPerSecond, kCallBurst}, timeout));
+  return std::unique_ptr<IRecordStore>(std::make_unique<PlatformStore>(std::move(client)));
+}
+
+}  // namespace monsoonshelf::app
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/leaf.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -35,4 +36,29 @@
       });
 }
 
+// A value, or the error in place of it.
+template <typename T>
+struct ValueOrError {
+  std::optional<T> value_;
+  Error error_;
+};
+
+// Calls `attempt`, a function that returns Result<T>, and keeps its error as a plain value. A new
+// failure must be returned outside of the handlers of LEAF: in Boost 1.81, try_handle_some replaces
+// the error object of a failure that its handler returns.
+template <typename T, typename Attempt>
+ValueOrError<T> Capture(Attempt&& attempt) {
+  Error failure;
+  auto value = Recover(
+      [&]() -> Result<std::optional<T>> {
+        BOOST_LEAF_AUTO(result, attempt());
+        return std::optional<T>(std::move(result));
+      },
+      [&failure](const Error& error) {
+        failure = error;
+        return std::optional<T>();
+      });
+  return {std::move(value), std::move(failure)};
+}
+
 }  // namespace monsoonshelf
--- a/src/records/internal/json_text.cc
+++ b/src/records/internal/json_text.cc
@@ -4,8 +4,6 @@
 #include <string>
 #include <vector>
 
-#include "records/records.h"
-
 namespace monsoonshelf::records {
 
 namespace {
@@ -38,11 +36,11 @@
 
 }  // namespace
 
-Result<Json> ParseJson(std::string_view text) {
-  if (text.size() > kMaxRecordBytes) {
+Result<Json> ParseJson(std::string_view text, std::size_t max_bytes) {
+  if (text.size() > max_bytes) {
     return Fail(ResultCode::kRecordTooLarge, "record has " + std::to_string(text.size()) +
                                                  " bytes, allowed are at most " +
-                                                 std::to_string(kMaxRecordBytes));
+                                                 std::to_string(max_bytes));
   }
   // The parser takes a NUL character for the end of the text.
   if (text.find('\0') != std::string_view::npos) {
--- a/src/records/internal/records.cc
+++ b/src/records/internal/records.cc
@@ -109,7 +109,7 @@
 }  // namespace
 
 Result<Record> ParseRecord(std::string_view json_text) {
-  BOOST_LEAF_AUTO(json, ParseJson(json_text));
+  BOOST_LEAF_AUTO(json, ParseJson(json_text, kMaxRecordBytes));
   if (!json.is_object()) {
     return Fail(ResultCode::kRecordSyntax,
                 "record is " + Abbreviate(json) + ", allowed: a JSON object");
@@ -126,7 +126,10 @@
 
 std::string FormatRecord(const Record& record) {
   Json json = Recover(
-      [&] { return record.text_.empty() ? Result<Json>(Json::object()) : ParseJson(record.text_); },
+      [&] {
+        return record.text_.empty() ? Result<Json>(Json::object())
+                                    : ParseJson(record.text_, kMaxRecordBytes);
+      },
       [](const Error&) { return Json::object(); });
   if (!json.is_object()) json = Json::object();
   json["kind"] = std::string(NameOf(kKindNames, record.kind_));
