--- a/src/app/internal/record_content.cc
+++ b/src/app/internal/record_content.cc
@@ -69,7 +69,9 @@
     const nlohmann::json::json_pointer pointer(path);
     const std::string old_value = from.contains(pointer) ? Show(from.at(pointer)) : "absent";
     const std::string new_value = step.contains("value") ? Show(step.at("value")) : "absent";
-    lines.push_back(path + ": there " + old_value + ", here " + new_value);
+    std::string line = path;
+    line.append(": there ").append(old_value).append(", here ").append(new_value);
+    lines.push_back(std::move(line));
   }
   return lines;
 }
