--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -35,8 +35,8 @@
   sockaddr_in local{};
   local.sin_family = AF_INET;
   local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof local);
-  listen(descriptor, 128);
+  const int bound = bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof local);
+  if (bound != 0 || listen(descriptor, 128) != 0) std::abort();
   socklen_t size = sizeof local;
   getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size);
   address = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -169,8 +169,9 @@
     std::string body;
     const std::string length = HeaderOf(head, "Content-Length");
     if (!length.empty()) body = connection.ReadBody(std::stoul(length));
-    const std::string path = head.substr(0, head.find(" HTTP"));
-    if (!connection.Write(Response(head, path + "|" + body))) return;
+    std::string text = head.substr(0, head.find(" HTTP"));
+    text.append("|").append(body);
+    if (!connection.Write(Response(head, text))) return;
   }
 }
 
