--- a/src/app/internal/command.cc
+++ b/src/app/internal/command.cc
@@ -5,6 +5,7 @@
 #include "app/internal/record_commands.h"
 #include "app/internal/run_command.h"
 #include "app/internal/settings_commands.h"
+#include "app/internal/timeline_command.h"
 
 namespace monsoonshelf::app {
 
@@ -21,6 +22,7 @@
     {"records", "watch", "print changes of records", RecordsCommand},
     {"zone", "out NAME", "take an availability zone out of service", ZoneCommand},
     {"zone", "in NAME", "take it back into service", ZoneCommand},
+    {"timeline", "FILE... [--html OUT] [--call ID]", "merge event logs", TimelineCommand},
     {"version", "", "print the version", VersionCommand},
 });
 
--- /dev/null
+++ b/src/app/internal/timeline_command.cc
@@ -0,0 +1,62 @@
+#include "app/internal/timeline_command.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "app/internal/command_line.h"
+#include "timeline/timeline.h"
+
+namespace monsoonshelf::app {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::size_t kMaxLogs = 10'000;
+
+Result<void> ReadLogFile(const std::string& file, timeline::Timeline& timeline) {
+  std::ifstream log(file, std::ios::binary);
+  if (!log || std::filesystem::is_directory(file)) {
+    return Fail(ResultCode::kFileUnreadable, "log " + file + " cannot be read");
+  }
+  timeline::ReadLog(log, std::filesystem::path(file).filename().string(), timeline);
+  if (log.bad()) return Fail(ResultCode::kFileUnreadable, "log " + file + " cannot be read");
+  return {};
+}
+
+Result<int> RunTimeline(const Arguments& arguments) {
+  options::options_description description;
+  description.add_options()("html", options::value<std::string>(), "write a page to this file")(
+      "call", options::value<std::string>(), "only the events of one call");
+  BOOST_LEAF_AUTO(values, ReadCommandLine(description, arguments, 1, kMaxLogs));
+  timeline::Timeline timeline;
+  for (const std::string& file : Positional(values)) {
+    BOOST_LEAF_CHECK(ReadLogFile(file, timeline));
+  }
+  timeline::FinishTimeline(timeline);
+  if (values.count("call") > 0) {
+    timeline = timeline::FollowCall(timeline, values["call"].as<std::string>());
+  }
+  if (values.count("html") == 0) {
+    timeline::WriteText(timeline, std::cout);
+    return kExitOk;
+  }
+  const std::string page = values["html"].as<std::string>();
+  std::ofstream out(page, std::ios::binary);
+  timeline::WriteHtml(timeline, out);
+  out.close();
+  if (!out) return Fail(ResultCode::kFileUnreadable, "page " + page + " cannot be written");
+  std::cout << "page=" << page << " events=" << timeline.events_.size()
+            << " lines=" << timeline.lines_ << " malformed_lines=" << timeline.malformed_lines_
+            << "\n";
+  return kExitOk;
+}
+
+}  // namespace
+
+int TimelineCommand(const Arguments& arguments) {
+  return RunReporting("timeline", [&] { return RunTimeline(arguments); });
+}
+
+}  // namespace monsoonshelf::app
