dispatch: do not hold failures of nested calls against targets

Change: a failure that comes back without retries left is not the target's own; a host returns failures with a budget of 0, so that no level above repeats them; ejection also counts targets of other zones as alternatives, and ejected targets are no longer announced as ready.

--- a/bench/local_policies.cc
+++ b/bench/local_policies.cc
@@ -78,12 +78,12 @@
     const int target = Choose(call, state, candidates);
     const auto index = static_cast<std::size_t>(target);
     ++state.in_flight_[index];
-    world_.Send(target, call, call.deadline_, call.zone_,
-                [this, call, done = std::move(done), attempts, target, index, &state](
-                    SendResult result, const dispatch::LoadReport&) {
-                  --state.in_flight_[index];
-                  End(call, done, attempts, target, result);
-                });
+    world_.Send(
+        target, call, call.deadline_, call.zone_,
+        [this, call, done = std::move(done), attempts, target, index, &state](const SendEnd& sent) {
+          --state.in_flight_[index];
+          End(call, done, attempts, target, sent.result_);
+        });
   }
 
   void End(const BenchCall& call, const Done& done, int attempts, int target, SendResult result) {
--- a/bench/world.h
+++ b/bench/world.h
@@ -12,7 +12,12 @@
 namespace monsoonshelf::bench {
 
 // Result of a send as the entry host sees it.
-using SendDone = std::function<void(dispatch::SendResult, const dispatch::LoadReport&)>;
+struct SendEnd {
+  dispatch::SendResult result_ = dispatch::SendResult::kAnswered;
+  dispatch::LoadReport report_;
+  bool failed_below_ = false;  // A nested call failed, not the target.
+};
+using SendDone = std::function<void(const SendEnd&)>;
 using ProbeDone = std::function<void(const dispatch::LoadReport&)>;
 
 // A call at a target.
@@ -24,6 +29,7 @@
   SendDone done_;
   Time ends_{};
   bool open_ = true;
+  bool failed_below_ = false;
 };
 
 using JobPtr = std::shared_ptr<Job>;
@@ -98,6 +104,7 @@
 
   void Arrive(FakeTarget& target, const JobPtr& job);
   void Start(FakeTarget& target, const JobPtr& job);
+  void Serve(FakeTarget& target, const JobPtr& job);
   void Finish(FakeTarget& target, const JobPtr& job, dispatch::SendResult result);
   void Respond(FakeTarget& target, const JobPtr& job, dispatch::SendResult result);
   void RunWaiting(FakeTarget& target);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,8 +45,11 @@
                        SendResult result, const std::optional<LoadReport>& report, Time now,
                        Random& random, bool* call_finished);
 
-// The answer of a target or of another shard says how many retries are left for the call tree;
-// calls below this one may have used some. Call it before OnSendFinished or OnForwardRefused.
+// The answer of a target or of another shard carries the retries that are left for the call tree;
+// calls below this one may have used some. Call it before OnSendFinished or OnForwardRefused, and
+// not for an answer without the header. A host that returns a failure to its caller returns 0, so
+// that no level above repeats the whole call; a failure with 0 is therefore not held against the
+// target.
 void OnRetryBudgetReturned(Dispatcher& dispatcher, CallHandle call, int retry_budget);
 
 // A forwarded call came back as not run; the dispatcher queues, places or refuses it.
--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -184,13 +184,17 @@
 }
 
 void OnRetryBudgetReturned(Dispatcher& dispatcher, CallHandle call, int retry_budget) {
-  const auto lower = [retry_budget](WaitingCall& waiting) {
-    waiting.call_.retry_budget_ = std::min(waiting.call_.retry_budget_, retry_budget);
-  };
   const auto sent = dispatcher.sent_.find(call);
-  if (sent != dispatcher.sent_.end()) lower(sent->second.waiting_);
+  if (sent != dispatcher.sent_.end()) {
+    Call& known = sent->second.waiting_.call_;
+    known.retry_budget_ = std::min(known.retry_budget_, retry_budget);
+    sent->second.failed_below_ = retry_budget <= 0;
+  }
   const auto forwarded = dispatcher.forwarded_.find(call);
-  if (forwarded != dispatcher.forwarded_.end()) lower(forwarded->second.waiting_);
+  if (forwarded != dispatcher.forwarded_.end()) {
+    Call& known = forwarded->second.waiting_.call_;
+    known.retry_budget_ = std::min(known.retry_budget_, retry_budget);
+  }
 }
 
 Actions OnForwardRefused(Dispatcher& dispatcher, CallHandle call, const std::string& zone, Time now,
@@ -318,7 +322,8 @@
     const int limit = internal::SlotLimit(dispatcher, target, now);
     const int used = internal::UsedSlots(target, now);
     if (!target.health_.ejected_) summary.free_slots_ += std::max(0, limit - used);
-    if (target.accepts_work_ && target.phase_ == TargetPhase::kReady) ++summary.ready_targets_;
+    const bool ready = target.accepts_work_ && target.phase_ == TargetPhase::kReady;
+    if (ready && !target.health_.ejected_) ++summary.ready_targets_;
     summary.targets_.push_back(
         {target.name_, target.phase_, target.epoch_.value_or(0), target.in_flight_, limit});
   }
--- a/src/dispatch/internal/dispatcher_state.h
+++ b/src/dispatch/internal/dispatcher_state.h
@@ -65,6 +65,7 @@
   std::string target_;
   Time sent_{};
   Time deadline_{};
+  bool failed_below_ = false;  // The answer said that no retries are left.
 };
 
 struct ForwardedCall {
--- a/src/dispatch/internal/health.cc
+++ b/src/dispatch/internal/health.cc
@@ -23,7 +23,8 @@
 
 // An ejection costs a slot for the first pause at least, so it takes clearer evidence.
 constexpr double kEjectRatio = 4;
-constexpr double kEjectFailure = 0.5;
+// Three failures in a row after successes only raise the average share to 0.49.
+constexpr double kEjectFailure = 0.45;
 constexpr double kHealthyFailure = 0.25;
 constexpr int kEjectFailuresInRow = 3;
 constexpr double kGoodTrialRatio = 3;
@@ -54,12 +55,27 @@
   ++times.samples_;
 }
 
+bool IsHealthy(const TargetState& target) {
+  return target.accepts_work_ && !target.health_.ejected_ &&
+         target.health_.failure_ < kHealthyFailure &&
+         (target.phase_ == TargetPhase::kReady || IsStrict(target.phase_));
+}
+
 bool OtherTargetIsHealthy(const Dispatcher& dispatcher, const TargetState& target) {
   return std::any_of(
-      dispatcher.targets_.begin(), dispatcher.targets_.end(), [&target](const TargetState& other) {
-        return &other != &target && MayRecover(other) && !other.health_.ejected_ &&
-               other.phase_ != TargetPhase::kSuspected && other.health_.failure_ < kHealthyFailure;
-      });
+      dispatcher.targets_.begin(), dispatcher.targets_.end(),
+      [&target](const TargetState& other) { return &other != &target && IsHealthy(other); });
+}
+
+// A remote shard counts its targets as ready only while they are not ejected there.
+bool OtherZoneIsHealthy(const Dispatcher& dispatcher) {
+  return std::any_of(dispatcher.remotes_.begin(), dispatcher.remotes_.end(),
+                     [](const auto& remote) { return remote.second.shard_.ready_targets_ > 0; });
+}
+
+// A failure that a nested call caused says nothing about the target.
+bool IsOwnFailure(const SentCall& call, SendResult result) {
+  return result != SendResult::kFailed || !call.failed_below_;
 }
 
 void Postpone(Health& health, Time now, Random& random) {
@@ -98,7 +114,8 @@
   const bool failing =
       health.failure_ > kEjectFailure && health.failures_in_row_ >= kEjectFailuresInRow;
   // If all targets fail alike, the fault is not the target's, and ejecting helps nobody.
-  if ((!slow && !failing) || !OtherTargetIsHealthy(dispatcher, target)) {
+  if ((!slow && !failing) ||
+      (!OtherTargetIsHealthy(dispatcher, target) && !OtherZoneIsHealthy(dispatcher))) {
     if (health.samples_ >= 100) health.level_ = 0;
     return;
   }
@@ -113,12 +130,13 @@
   Health& health = target.health_;
   const double elapsed = Microseconds(now - call.sent_);
   const double typical = TypicalService(dispatcher);
+  ServiceTime& times =
+      dispatcher.service_times_[static_cast<std::size_t>(call.waiting_.call_.class_)];
   bool failed = false;
   switch (result) {
     case SendResult::kAnswered:
       AddSample(health, elapsed, now);
-      AddServiceTime(
-          dispatcher.service_times_[static_cast<std::size_t>(call.waiting_.call_.class_)], elapsed);
+      AddServiceTime(times, elapsed);
       health.timeouts_in_row_ = 0;
       break;
     case SendResult::kTimedOut:
@@ -130,6 +148,7 @@
     case SendResult::kLost:
     case SendResult::kInvalid:
       // No sample: a target that fails fast is not a fast target.
+      if (!IsOwnFailure(call, result)) return;
       failed = true;
       break;
     case SendResult::kRefused:
@@ -178,6 +197,16 @@
 
 bool IsSlow(double expected, double typical) { return expected > kSlowRatio * typical; }
 
+bool AllEjected(const Dispatcher& dispatcher) {
+  bool any = false;
+  for (const TargetState& target : dispatcher.targets_) {
+    if (!target.accepts_work_ || target.phase_ != TargetPhase::kReady) continue;
+    if (!target.health_.ejected_) return false;
+    any = true;
+  }
+  return any && !OtherZoneIsHealthy(dispatcher);
+}
+
 bool MayTry(const TargetState& target, Time now) {
   return !target.health_.ejected_ || (target.in_flight_ == 0 && now >= target.health_.next_trial_);
 }
--- a/src/dispatch/internal/health.h
+++ b/src/dispatch/internal/health.h
@@ -19,6 +19,9 @@
 // True if the target is at least kSlowRatio times slower than is typical.
 bool IsSlow(double expected, double typical);
 
+// True if ejection leaves no target in any zone: then ejected targets serve as others do.
+bool AllEjected(const Dispatcher& dispatcher);
+
 // True when an ejected target may get its next trial call.
 bool MayTry(const TargetState& target, Time now);
 
--- a/src/dispatch/internal/placement.cc
+++ b/src/dispatch/internal/placement.cc
@@ -60,8 +60,9 @@
   return dispatcher.last_interactive_ + kInteractiveMemory < now;
 }
 
-bool SuitsTrial(const TargetState& target, const Call& call, Time now) {
-  if (!target.health_.ejected_) return true;
+bool SuitsTrial(const Dispatcher& dispatcher, const TargetState& target, const Call& call,
+                Time now) {
+  if (!target.health_.ejected_ || AllEjected(dispatcher)) return true;
   if (!MayTry(target, now)) return false;
   return (call.idempotent_ && call.attempts_left_ > 1 && call.retry_budget_ > 0) ||
          now >= target.health_.next_trial_ + kTrialPatience;
@@ -72,7 +73,7 @@
   return UsedSlots(target, now) < SlotLimit(dispatcher, target, now) &&
          HasTime(dispatcher, target, waiting.call_, now) &&
          LeavesRoomForInteractive(dispatcher, target, waiting.call_, now) &&
-         SuitsTrial(target, waiting.call_, now);
+         SuitsTrial(dispatcher, target, waiting.call_, now);
 }
 
 double ForeignCalls(const TargetState& target, Time now) {
