dispatch: test limits, queue, admission and health; use a free slot beside a long call

Cause: tests showed that a long call made its target look slow, so that its free slot stayed idle although no faster target existed; and that a cold target with a limit above 1 got one call only. Change: waiting for a faster target is considered only if there is one; times of other classes are scaled to the class with evidence; the limit of one call after silence applies to ready targets.

--- a/src/dispatch/internal/admission.cc
+++ b/src/dispatch/internal/admission.cc
@@ -35,7 +35,10 @@
     if (limit == 0 || target.health_.ejected_) continue;
     capacity.limit_ += limit;
     const double expected = ExpectedService(dispatcher, target, capacity.typical_us_, now);
-    if (expected > 0) capacity.calls_per_us_ += limit / expected;
+    if (expected > 0) {
+      capacity.calls_per_us_ += limit / expected;
+      if (!IsSlow(expected, capacity.typical_us_)) capacity.fast_per_us_ += limit / expected;
+    }
     capacity.free_ += std::max(0, limit - UsedSlots(target, now));
   }
   return capacity;
--- a/src/dispatch/internal/admission.h
+++ b/src/dispatch/internal/admission.h
@@ -9,6 +9,7 @@
   int limit_ = 0;
   int free_ = 0;
   double calls_per_us_ = 0;  // 0 without evidence.
+  double fast_per_us_ = 0;   // Of the targets that are not slow.
   double typical_us_ = 0;    // 0 without evidence.
 };
 
--- a/src/dispatch/internal/health.cc
+++ b/src/dispatch/internal/health.cc
@@ -56,6 +56,20 @@
   ++times.samples_;
 }
 
+// Converts a time of one class to the scale of the first class that has evidence, so that a target
+// does not look slow because it has a bulk call.
+double OnCommonScale(const Dispatcher& dispatcher, records::CallClass call_class,
+                     double elapsed_us) {
+  const auto known = [](const ServiceTime& times) {
+    return times.samples_ >= kMinSamples && times.mean_us_ > 0;
+  };
+  const auto& all = dispatcher.service_times_;
+  const ServiceTime& own = all[static_cast<std::size_t>(call_class)];
+  const auto first = std::find_if(all.begin(), all.end(), known);
+  if (!known(own) || first == all.end()) return elapsed_us;
+  return elapsed_us * first->mean_us_ / own.mean_us_;
+}
+
 bool IsHealthy(const TargetState& target) {
   return target.accepts_work_ && !target.health_.ejected_ &&
          target.health_.failure_ < kHealthyFailure &&
@@ -129,15 +143,15 @@
 void ObserveResult(Dispatcher& dispatcher, TargetState& target, const SentCall& call,
                    SendResult result, Time now, Random& random) {
   Health& health = target.health_;
-  const double elapsed = Microseconds(now - call.sent_);
+  const records::CallClass call_class = call.waiting_.call_.class_;
+  const double own_elapsed = Microseconds(now - call.sent_);
+  const double elapsed = OnCommonScale(dispatcher, call_class, own_elapsed);
   const double typical = TypicalService(dispatcher);
-  ServiceTime& times =
-      dispatcher.service_times_[static_cast<std::size_t>(call.waiting_.call_.class_)];
   bool failed = false;
   switch (result) {
     case SendResult::kAnswered:
       AddSample(health, elapsed, now);
-      AddServiceTime(times, elapsed);
+      AddServiceTime(dispatcher.service_times_[static_cast<std::size_t>(call_class)], own_elapsed);
       health.timeouts_in_row_ = 0;
       break;
     case SendResult::kTimedOut:
@@ -191,7 +205,9 @@
   // A call that has been out for long shows a sudden slowdown before its answer does.
   for (const auto& [handle, call] : dispatcher.sent_) {
     if (call.target_ != target.name_) continue;
-    expected = std::max(expected, 0.5 * Microseconds(now - call.sent_));
+    const double out =
+        OnCommonScale(dispatcher, call.waiting_.call_.class_, Microseconds(now - call.sent_));
+    expected = std::max(expected, 0.5 * out);
   }
   return expected;
 }
--- a/src/dispatch/internal/placement.cc
+++ b/src/dispatch/internal/placement.cc
@@ -84,8 +84,8 @@
 
 // True if waiting for a faster target is expected to take less time than a slow target needs more.
 bool BetterToWait(const Capacity& capacity, double expected, int ahead) {
-  if (capacity.calls_per_us_ <= 0) return false;
-  const double wait = (ahead + 1) / capacity.calls_per_us_;
+  if (capacity.fast_per_us_ <= 0) return false;
+  const double wait = (ahead + 1) / capacity.fast_per_us_;
   return expected - capacity.typical_us_ > wait;
 }
 
@@ -139,9 +139,8 @@
   action.deadline_ = SendDeadline(dispatcher, target, waiting.call_);
   action.retry_budget_ = waiting.call_.retry_budget_;
   actions.push_back(action);
-  if (target.in_flight_ == 0 && now >= target.last_response_ + kConfirmAge) {
-    target.unconfirmed_ = true;
-  }
+  const bool silent = target.in_flight_ == 0 && now >= target.last_response_ + kConfirmAge;
+  if (silent && target.phase_ == TargetPhase::kReady) target.unconfirmed_ = true;
   ++target.in_flight_;
   if (IsBackground(waiting.call_.class_)) ++target.background_;
   target.last_send_ = now;
--- a/src/dispatch/tests/dispatcher_test.cc
+++ b/src/dispatch/tests/dispatcher_test.cc
@@ -2,61 +2,297 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace monsoonshelf::dispatch {
+#include "dispatch/tests/harness.h"
 
-namespace {
+namespace monsoonshelf::dispatch::tests {
 
-constexpr Time At(int milliseconds) { return Time(std::chrono::milliseconds(milliseconds)); }
-
-}  // namespace
+using records::CallClass;
 
+// Selection, queue, admission, health and edge cases.
 class DispatcherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DispatcherTest);
   CPPUNIT_TEST(SpreadsCallsAndQueuesTheRest);
-  CPPUNIT_TEST(RefusesWithoutTargets);
+  CPPUNIT_TEST(QueueOrder);
+  CPPUNIT_TEST(QueueIsBounded);
+  CPPUNIT_TEST(BatchWaitsUntilItsDeadline);
+  CPPUNIT_TEST(BulkLeavesASlotToInteractive);
+  CPPUNIT_TEST(RefusesCallsThatCannotFinish);
+  CPPUNIT_TEST(ShedsByTheSlotsThatRespond);
+  CPPUNIT_TEST(DeadlineIsCheckedAtSending);
+  CPPUNIT_TEST(FailFastTargetIsLeftAndFoundAgain);
+  CPPUNIT_TEST(FailuresOfNestedCallsAreNotHeldAgainstTargets);
+  CPPUNIT_TEST(SlowTargetIsLeft);
+  CPPUNIT_TEST(LongCallDoesNotBlockItsTarget);
+  CPPUNIT_TEST(ContradictedReportsAreDistrusted);
+  CPPUNIT_TEST(NoTargetsAtAll);
+  CPPUNIT_TEST(AllDraining);
+  CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
+  CPPUNIT_TEST(TimeThatJumps);
+  CPPUNIT_TEST(LateResultsAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    ShardSettings settings;
-    settings.max_queue_ = 1;
-    dispatcher_ = MakeDispatcher(settings, At(0));
-    OnTargetKnowledge(*dispatcher_, {{"a", TargetPhase::kReady, 1}, {"b", TargetPhase::kReady, 1}},
-                      At(0));
+  // Guards against calls that collide at one target while another is idle.
+  void SpreadsCallsAndQueuesTheRest() {
+    Harness harness({"a", "b"});
+    for (int call = 0; call < 2; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("b"));
+    for (int call = 0; call < 3; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("b"));
+    CPPUNIT_ASSERT_EQUAL(CallHandle{5}, harness.Finish(1).at(0).call_);
   }
 
-  Actions Arrive(CallHandle handle) {
-    Call call;
-    call.handle_ = handle;
-    call.deadline_ = At(1000);
-    return OnCallArrived(*dispatcher_, call, At(0), random_);
+  // Class first, then priority, then deadline.
+  void QueueOrder() {
+    Harness harness({"a"}, 1);
+    harness.Arrive();
+    const Call batch = harness.MakeCall(CallClass::kBatch);
+    const Call bulk = harness.MakeCall(CallClass::kBulk);
+    const Call transactional = harness.MakeCall(CallClass::kTransactional);
+    Call late = harness.MakeCall();
+    late.deadline_ += milliseconds(1);
+    const Call early = harness.MakeCall();
+    Call first = harness.MakeCall();
+    first.priority_ = 1;
+    first.deadline_ += milliseconds(2);
+    for (const Call& call : {batch, bulk, transactional, late, early, first}) harness.Arrive(call);
+    CallHandle running = 1;
+    for (const Call& call : {first, early, late, transactional, bulk, batch}) {
+      const Actions actions = harness.Finish(running);
+      running = call.handle_;
+      CPPUNIT_ASSERT_EQUAL(running, actions.at(0).call_);
+    }
   }
 
-  // Guards against calls that collide at one target while another is idle, and against a queue
-  // without bound.
-  void SpreadsCallsAndQueuesTheRest() {
-    OnTargetsChanged(*dispatcher_, {{"a"}, {"b"}}, At(0), random_);
-    const std::string first = Arrive(1).at(0).target_;
-    CPPUNIT_ASSERT(first != Arrive(2).at(0).target_);
-    CPPUNIT_ASSERT(Arrive(3).at(0).target_ != Arrive(4).at(0).target_);
-    CPPUNIT_ASSERT(Arrive(5).empty());
-    CPPUNIT_ASSERT(Arrive(6).at(0).code_ == ResultCode::kQueueFull);
-    bool finished = false;
-    const Actions next = OnSendFinished(*dispatcher_, 1, first, SendResult::kAnswered, std::nullopt,
-                                        At(5), random_, &finished);
-    CPPUNIT_ASSERT(finished);
-    CPPUNIT_ASSERT_EQUAL(CallHandle{5}, next.at(0).call_);
-    CPPUNIT_ASSERT_EQUAL(first, next.at(0).target_);
+  // Guards against a queue that grows without limit, and against a batch call that keeps an
+  // interactive one out.
+  void QueueIsBounded() {
+    Harness harness({"a"}, 1);
+    harness.settings_.max_queue_ = 2;
+    OnSettingsChanged(*harness.dispatcher_, harness.settings_, harness.now_, harness.random_);
+    harness.Arrive();
+    harness.Arrive();
+    const Call batch = harness.MakeCall(CallClass::kBatch);
+    harness.Arrive(batch);
+    const Actions replaced = harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(batch.handle_, replaced.at(0).call_);
+    CPPUNIT_ASSERT(replaced.at(0).code_ == ResultCode::kOverloaded);
+    const Actions full = harness.Arrive();
+    CPPUNIT_ASSERT(full.at(0).code_ == ResultCode::kQueueFull);
+    CPPUNIT_ASSERT(full.at(0).outcome_ == CallOutcome::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(2, harness.Queued());
   }
 
-  // Guards against calls that wait although no target exists.
-  void RefusesWithoutTargets() { CPPUNIT_ASSERT(Arrive(1).at(0).code_ == ResultCode::kNoTarget); }
+  // Guards against a batch call that is dropped without an answer, and against one that is refused
+  // because of its expected wait.
+  void BatchWaitsUntilItsDeadline() {
+    Harness harness({"a"});
+    harness.Teach();
+    harness.Arrive();
+    harness.Arrive();
+    Call batch = harness.MakeCall(CallClass::kBatch);
+    batch.deadline_ = harness.now_ + milliseconds(1);
+    CPPUNIT_ASSERT(harness.Arrive(batch).empty());
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) <= batch.deadline_);
+    harness.now_ = batch.deadline_;
+    const Actions actions = harness.Tick();
+    CPPUNIT_ASSERT_EQUAL(batch.handle_, actions.at(0).call_);
+    CPPUNIT_ASSERT(actions.at(0).code_ == ResultCode::kDeadlinePassed);
+  }
+
+  void BulkLeavesASlotToInteractive() {
+    Harness harness({"a"});
+    harness.Arrive();
+    harness.Finish(1);
+    for (int call = 0; call < 3; ++call) harness.Arrive(CallClass::kBulk);
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kSend));
+    Harness idle({"a"});
+    for (int call = 0; call < 3; ++call) idle.Arrive(CallClass::kBulk);
+    CPPUNIT_ASSERT_EQUAL(2, idle.InFlight("a"));
+  }
+
+  void RefusesCallsThatCannotFinish() {
+    Harness harness({"a"});
+    const auto arrive_with = [&](int remaining_ms) {
+      Call call = harness.MakeCall();
+      call.deadline_ = harness.now_ + milliseconds(remaining_ms);
+      return harness.Arrive(call);
+    };
+    harness.Arrive();
+    harness.Arrive();
+    CPPUNIT_ASSERT(arrive_with(1).empty());  // No evidence yet: never refused.
+    harness.Finish(1);
+    harness.now_ += milliseconds(1);
+    harness.Finish(2);
+    harness.Teach();
+    for (int call = 0; call < 6; ++call) harness.Arrive();
+    const Actions refused = arrive_with(20);  // The expected wait is 25 ms.
+    CPPUNIT_ASSERT(refused.at(0).code_ == ResultCode::kDeadlineTooShort);
+    CPPUNIT_ASSERT(refused.at(0).outcome_ == CallOutcome::kNotRun);
+    CPPUNIT_ASSERT(arrive_with(200).empty());
+    CPPUNIT_ASSERT(arrive_with(0).at(0).code_ == ResultCode::kDeadlinePassed);
+  }
+
+  // Guards against a queue that stays as long when targets stop responding.
+  void ShedsByTheSlotsThatRespond() {
+    const auto queue_with = [](const std::vector<std::string>& targets) {
+      Harness harness(targets);
+      for (int call = 0; call < 200; ++call) {
+        for (const Action& action : harness.Arrive()) {
+          if (action.kind_ != ActionKind::kRefuse) continue;
+          CPPUNIT_ASSERT(action.code_ == ResultCode::kOverloaded);
+        }
+      }
+      return harness.Queued();
+    };
+    CPPUNIT_ASSERT_EQUAL(2 * queue_with({"a"}), queue_with({"a", "b"}));
+  }
+
+  void DeadlineIsCheckedAtSending() {
+    Harness harness({"a"}, 1);
+    harness.Teach();
+    harness.Arrive();
+    Call call = harness.MakeCall();
+    call.deadline_ = harness.now_ + milliseconds(30);
+    CPPUNIT_ASSERT(harness.Arrive(call).empty());
+    harness.now_ += milliseconds(28);
+    const Actions actions = harness.Finish(harness.sent_.begin()->first);
+    CPPUNIT_ASSERT(actions.at(0).kind_ == ActionKind::kRefuse);
+    CPPUNIT_ASSERT(actions.at(0).code_ == ResultCode::kDeadlineTooShort);
+  }
+
+  // A target that fails in 1 ms is idle most of the time, which must not attract calls.
+  void FailFastTargetIsLeftAndFoundAgain() {
+    Harness harness({"a", "b"});
+    int at_bad = 0;
+    const auto run = [&](bool bad_fails) {
+      at_bad = 0;
+      for (int call = 0; call < 300; ++call) {
+        Call request = harness.MakeCall();
+        request.attempts_left_ = 1;
+        const Actions actions = harness.Arrive(request);
+        const bool bad = actions.at(0).target_ == "a";
+        at_bad += bad ? 1 : 0;
+        harness.now_ += milliseconds(bad && bad_fails ? 1 : 10);
+        harness.Finish(request.handle_,
+                       bad && bad_fails ? SendResult::kFailed : SendResult::kAnswered);
+      }
+    };
+    run(true);
+    CPPUNIT_ASSERT(at_bad < 40);
+    harness.now_ += std::chrono::seconds(10);
+    run(false);
+    CPPUNIT_ASSERT(at_bad > 100);
+  }
+
+  void FailuresOfNestedCallsAreNotHeldAgainstTargets() {
+    Harness harness({"a", "b"});
+    for (int call = 0; call < 100; ++call) {
+      const Action sent = harness.Arrive().at(0);
+      harness.now_ += milliseconds(10);
+      OnRetryBudgetReturned(*harness.dispatcher_, sent.call_, 0);
+      harness.Finish(sent.call_, sent.target_ == "a" ? SendResult::kFailed : SendResult::kAnswered);
+      CPPUNIT_ASSERT(harness.finished_);  // The budget came back as 0, so there is no retry.
+    }
+    CPPUNIT_ASSERT_EQUAL(4, Summarize(*harness.dispatcher_, harness.now_).free_slots_);
+  }
 
- private:
-  DispatcherPtr dispatcher_;
-  Random random_{1};
+  void SlowTargetIsLeft() {
+    Harness harness({"a", "b"});
+    int at_slow = 0;
+    for (int call = 0; call < 200; ++call) {
+      const Action sent = harness.Arrive().at(0);
+      const bool slow = sent.target_ == "a";
+      at_slow += slow ? 1 : 0;
+      harness.now_ += milliseconds(slow ? 100 : 10);
+      harness.Finish(sent.call_);
+    }
+    CPPUNIT_ASSERT(at_slow < 40);
+  }
+
+  // Guards against a free slot that stays idle beside a long call, for want of a faster target.
+  void LongCallDoesNotBlockItsTarget() {
+    Harness harness({"a"});
+    harness.Teach();
+    harness.Arrive();
+    harness.now_ += milliseconds(500);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kSend));
+  }
+
+  // Guards against an idle target that is passed over because its report claims calls that cannot
+  // be there, and against use of reports that miss calls that are there.
+  void ContradictedReportsAreDistrusted() {
+    Harness harness({"a", "b"}, 4);
+    const auto busy = Harness::Report(TargetPhase::kReady, 1, 3);
+    const CallHandle first = harness.Arrive().at(0).call_;
+    const std::string reporter = harness.sent_.at(first).target_;
+    harness.Finish(first, SendResult::kAnswered, busy);  // Calls of other hosts at this target.
+    CPPUNIT_ASSERT(harness.Arrive().at(0).target_ != reporter);
+    harness.now_ += milliseconds(500);  // The report has aged.
+    CPPUNIT_ASSERT_EQUAL(reporter, harness.Arrive().at(0).target_);
+  }
+
+  void NoTargetsAtAll() {
+    Harness harness;
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kNoTarget);
+    CPPUNIT_ASSERT(harness.Tick().empty());
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) > harness.now_);
+  }
+
+  void AllDraining() {
+    Harness harness({"a"});
+    harness.Arrive();
+    harness.Finish(1, SendResult::kAnswered, Harness::Report(TargetPhase::kDraining));
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kNoTarget);
+  }
+
+  // Guards against new work on a leaving target, waiting calls included.
+  void LeavingTargetGetsNoNewWork() {
+    Harness harness({"a"}, 1);
+    harness.Arrive();
+    harness.Arrive();
+    const Actions actions = harness.SetTargets({"a"}, false);
+    CPPUNIT_ASSERT_EQUAL(CallHandle{2}, actions.at(0).call_);
+    CPPUNIT_ASSERT(actions.at(0).code_ == ResultCode::kNoTarget);
+    harness.Finish(1);
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kNoTarget);
+    harness.SetTargets({"a"});
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+  }
+
+  // Guards against decisions on a clock that runs backwards, and against calls sent after a pause
+  // of the process.
+  void TimeThatJumps() {
+    Harness harness({"a"}, 1);
+    harness.Arrive();
+    const Call waiting = harness.MakeCall();
+    harness.Arrive(waiting);
+    harness.now_ += std::chrono::hours(1);
+    const Actions actions = harness.Finish(1);
+    CPPUNIT_ASSERT(actions.at(0).code_ == ResultCode::kDeadlinePassed);
+    harness.now_ -= std::chrono::hours(2);
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kDeadlinePassed);
+  }
+
+  // Guards against slots that are freed twice.
+  void LateResultsAreIgnored() {
+    Harness harness({"a"}, 1);
+    harness.Arrive();
+    const std::string target = harness.sent_.at(1).target_;
+    harness.Finish(1);
+    harness.Arrive();
+    bool finished = false;
+    OnSendFinished(*harness.dispatcher_, 1, target, SendResult::kAnswered, std::nullopt,
+                   harness.now_, harness.random_, &finished);
+    OnSendFinished(*harness.dispatcher_, 2, "other", SendResult::kAnswered, std::nullopt,
+                   harness.now_, harness.random_, &finished);
+    CPPUNIT_ASSERT(harness.Arrive().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
 
-}  // namespace monsoonshelf::dispatch
+}  // namespace monsoonshelf::dispatch::tests
--- /dev/null
+++ b/src/dispatch/tests/limits_test.cc
@@ -0,0 +1,220 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "dispatch/tests/harness.h"
+
+namespace monsoonshelf::dispatch::tests {
+
+// Limits that hold over all entry hosts: cold targets and probes.
+class LimitsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LimitsTest);
+  CPPUNIT_TEST(ColdTargetsNeedTheAssignment);
+  CPPUNIT_TEST(ColdLimitHolds);
+  CPPUNIT_TEST(AbandonedCallsCountAtColdTargets);
+  CPPUNIT_TEST(DeadlineEndsBeforeTheLease);
+  CPPUNIT_TEST(PredecessorKeepsItsLimitsUntilItsLeaseEnds);
+  CPPUNIT_TEST(RampsFromColdToReady);
+  CPPUNIT_TEST(RestartIsRecognisedByEpoch);
+  CPPUNIT_TEST(RestartIsRecognisedByLossAndRefusal);
+  CPPUNIT_TEST(LateReportOfAnOldEpochIsIgnored);
+  CPPUNIT_TEST(SilentTargetGetsOneCallUntilItResponds);
+  CPPUNIT_TEST(FullTargetIsNotSuspected);
+  CPPUNIT_TEST(ProbesKeepTheirBudget);
+  CPPUNIT_TEST(ProbesNeedTheAssignment);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against work on cold targets by a host that does not hold the shard.
+  void ColdTargetsNeedTheAssignment() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    CPPUNIT_ASSERT(harness.Arrive().empty());
+    harness.Hold(60'000);
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) == harness.now_);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Tick(), ActionKind::kSend));
+    harness.now_ = At(60'000);
+    harness.sent_.clear();
+    CPPUNIT_ASSERT_EQUAL(0, Count(harness.Arrive(), ActionKind::kSend));
+  }
+
+  void ColdLimitHolds() {
+    Harness harness({}, 4, 2);
+    harness.SetTargets({"a"});
+    harness.Hold(60'000);
+    for (int call = 0; call < 5; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
+    harness.Finish(1, SendResult::kAnswered, Harness::Report(TargetPhase::kCold));
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
+  }
+
+  // Guards against a second call while a call whose connection broke may still run.
+  void AbandonedCallsCountAtColdTargets() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.Hold(60'000);
+    harness.Arrive();
+    harness.Arrive();
+    harness.Finish(1, SendResult::kCancelled, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(0, harness.InFlight("a"));
+    harness.now_ += milliseconds(500);
+    harness.Probed("a", Harness::Report(TargetPhase::kCold, 1, 0));  // It is idle again.
+    harness.Tick();
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+  }
+
+  void DeadlineEndsBeforeTheLease() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.Hold(10'500);
+    const Actions actions = harness.Arrive();
+    CPPUNIT_ASSERT(actions.at(0).kind_ == ActionKind::kSend);
+    CPPUNIT_ASSERT(actions.at(0).deadline_ < At(10'500));
+    Harness late;
+    late.SetTargets({"a"});
+    late.Hold(10'120);  // Too little of the lease is left to start a call.
+    CPPUNIT_ASSERT_EQUAL(0, Count(late.Arrive(), ActionKind::kSend));
+  }
+
+  void PredecessorKeepsItsLimitsUntilItsLeaseEnds() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.Hold(60'000, 12'000);
+    Call call = harness.MakeCall();
+    call.deadline_ = At(20'000);
+    CPPUNIT_ASSERT(harness.Arrive(call).empty());
+    CPPUNIT_ASSERT(harness.Tick().empty());
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) <= At(12'000));
+    harness.now_ = At(12'000);
+    const Actions actions = harness.Tick();
+    CPPUNIT_ASSERT_EQUAL(1, Count(actions, ActionKind::kSend));
+    // The predecessor may have probed until its end.
+    CPPUNIT_ASSERT_EQUAL(0, Count(actions, ActionKind::kProbe));
+  }
+
+  void RampsFromColdToReady() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.Hold(60'000);
+    const auto answer = [&](TargetPhase phase) {
+      const CallHandle call = harness.Arrive().at(0).call_;
+      harness.now_ += milliseconds(10);
+      harness.Finish(call, SendResult::kAnswered, Harness::Report(phase));
+    };
+    answer(TargetPhase::kCold);
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+    answer(TargetPhase::kReady);
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kWarming);
+    answer(TargetPhase::kReady);
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kReady);
+    answer(TargetPhase::kDraining);
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kDraining);
+    CPPUNIT_ASSERT_EQUAL(0, Count(harness.Arrive(), ActionKind::kSend));
+  }
+
+  void RestartIsRecognisedByEpoch() {
+    Harness harness({"a"});
+    harness.Hold(60'000);
+    for (int call = 0; call < 4; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
+    harness.Finish(1, SendResult::kAnswered, Harness::Report(TargetPhase::kCold, 2));
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+    harness.Finish(2, SendResult::kAnswered, Harness::Report(TargetPhase::kCold, 2));
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+  }
+
+  // Guards against full load on a target whose restart shows only as a broken connection.
+  void RestartIsRecognisedByLossAndRefusal() {
+    for (const SendResult result :
+         {SendResult::kLost, SendResult::kRefused, SendResult::kUnreachable}) {
+      Harness harness({"a"});
+      for (int call = 0; call < 3; ++call) harness.Arrive();
+      harness.Finish(1, result, std::nullopt);
+      CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kSuspected);
+      CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+      harness.Finish(2, SendResult::kAnswered, Harness::Report());  // It was sent before the doubt.
+      CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kWarming ||
+                     harness.PhaseOf("a") == TargetPhase::kSuspected);
+      CPPUNIT_ASSERT_EQUAL(0, harness.InFlight("a"));
+    }
+  }
+
+  void LateReportOfAnOldEpochIsIgnored() {
+    Harness harness({"a"});
+    harness.Hold(60'000);
+    harness.Arrive();
+    harness.Arrive();
+    harness.now_ += milliseconds(10);
+    harness.Finish(1, SendResult::kAnswered, Harness::Report(TargetPhase::kCold, 2));
+    harness.now_ += milliseconds(10);
+    harness.Finish(2, SendResult::kAnswered, Harness::Report(TargetPhase::kReady, 1));
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+  }
+
+  // Guards against full load on a target that restarted while it was idle.
+  void SilentTargetGetsOneCallUntilItResponds() {
+    Harness harness({"a"});
+    harness.now_ += std::chrono::seconds(5);
+    harness.Arrive();
+    harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+    harness.Finish(1);
+    harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
+  }
+
+  // Guards against the loss of a healthy target while another host sends to it too.
+  void FullTargetIsNotSuspected() {
+    Harness harness({"a"});
+    harness.Arrive();
+    harness.Finish(1, SendResult::kRefused, Harness::Report(TargetPhase::kReady, 1, 2));
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kReady);
+    CPPUNIT_ASSERT_EQUAL(0, harness.InFlight("a"));
+    harness.now_ += milliseconds(5);
+    harness.Tick();
+    CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+  }
+
+  // A probe arrives at any time between its start and its end. Guards against more than two in any
+  // second, whatever the delay of each.
+  void ProbesKeepTheirBudget() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.Hold(600'000);
+    std::vector<Time> arrivals;
+    std::optional<Time> ends;
+    Time sent;
+    for (int step = 0; step < 20'000; ++step) {
+      harness.now_ += milliseconds(1);
+      Actions actions;
+      if (ends && harness.now_ >= *ends) {
+        ends.reset();
+        // Early and late arrivals alternate: the worst case for a budget counted by starts.
+        arrivals.push_back(arrivals.size() % 2 == 0 ? harness.now_ : sent);
+        actions = harness.Probed("a", Harness::Report(TargetPhase::kCold));
+      } else {
+        actions = harness.Tick();
+      }
+      if (Count(actions, ActionKind::kProbe) == 0) continue;
+      CPPUNIT_ASSERT(!ends);
+      sent = harness.now_;
+      ends = harness.now_ + milliseconds(1 + static_cast<int>(harness.random_() % 300));
+    }
+    CPPUNIT_ASSERT(arrivals.size() >= 25);
+    for (std::size_t probe = 2; probe < arrivals.size(); ++probe) {
+      CPPUNIT_ASSERT(arrivals[probe] - arrivals[probe - 2] > std::chrono::seconds(1));
+    }
+  }
+
+  void ProbesNeedTheAssignment() {
+    Harness harness;
+    harness.SetTargets({"a"});
+    harness.now_ += std::chrono::seconds(10);
+    CPPUNIT_ASSERT(harness.Tick().empty());
+    harness.Hold(60'000);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Tick(), ActionKind::kProbe));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
+
+}  // namespace monsoonshelf::dispatch::tests
