--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -1,6 +1,7 @@
 #include "dispatch/internal/spill_over.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <random>
 
@@ -16,6 +17,7 @@
 constexpr double kFirstShare = 0.05;
 constexpr double kShareDrop = 0.5;
 constexpr Duration kMaxRise = milliseconds(50);
+constexpr double kShareMemoryUs = 1e6;
 
 // A call that the share held back is considered again after this time.
 constexpr Duration kReconsider = milliseconds(5);
@@ -44,10 +46,15 @@
 }
 
 void RaiseShare(RemoteState& remote, Time now) {
-  const Duration since = std::min(kMaxRise, now - remote.share_changed_);
-  remote.share_ =
-      std::min(1.0, std::max(kFirstShare, remote.share_) + kSharePerUs * Microseconds(since));
+  const Duration since = now - remote.share_changed_;
   remote.share_changed_ = now;
+  if (since > kMaxRise) {
+    // Need was interrupted: what the other zone could take then says little about now.
+    remote.share_ *= std::exp(-Microseconds(since) / kShareMemoryUs);
+    remote.share_ = std::max(kFirstShare, remote.share_);
+    return;
+  }
+  remote.share_ = std::min(1.0, remote.share_ + kSharePerUs * Microseconds(since));
 }
 
 void LowerShare(RemoteState& remote, Time now) {
--- a/src/dispatch/tests/harness.h
+++ b/src/dispatch/tests/harness.h
@@ -23,6 +23,7 @@
     settings_.limits_.cold_limit_ = cold_limit;
     dispatcher_ = MakeDispatcher(settings_, now_);
     std::vector<TargetKnowledge> known;
+    known.reserve(ready.size());
     for (const std::string& name : ready) known.push_back({name, TargetPhase::kReady, 1});
     OnTargetKnowledge(*dispatcher_, known, now_);
     SetTargets(ready);
@@ -30,6 +31,7 @@
 
   Actions SetTargets(const std::vector<std::string>& names, bool accepts_work = true) {
     std::vector<TargetSpec> specs;
+    specs.reserve(names.size());
     for (const std::string& name : names) specs.push_back({name, accepts_work});
     return Note(OnTargetsChanged(*dispatcher_, specs, now_, random_));
   }
