--- a/src/records/internal/json_text.cc
+++ b/src/records/internal/json_text.cc
@@ -4,8 +4,6 @@
 #include <string>
 #include <vector>
 
-#include "records/records.h"
-
 namespace monsoonshelf::records {
 
 namespace {
@@ -38,11 +36,15 @@
 
 }  // namespace
 
-Result<Json> ParseJson(std::string_view text) {
-  if (text.size() > kMaxRecordBytes) {
+Result<Json> ParseJson(std::string_view text, std::size_t max_bytes) {
+  if (text.size() > max_bytes) {
     return Fail(ResultCode::kRecordTooLarge, "record has " + std::to_string(text.size()) +
                                                  " bytes, allowed are at most " +
-                                                 std::to_string(kMaxRecordBytes));
+                                                 std::to_string(max_bytes));
+  }
+  // The parser takes a NUL character for the end of the text.
+  if (text.find('\0') != std::string_view::npos) {
+    return Fail(ResultCode::kRecordSyntax, "record is not valid JSON: it has a NUL character");
   }
   StructureCheck check;
   Json json;
@@ -50,8 +52,9 @@
     json = Json::parse(text, std::ref(check));
   } catch (const Json::exception& exception) {
     // The library reports the position only through its exception.
+    const std::string_view what = exception.what();
     return Fail(ResultCode::kRecordSyntax,
-                std::string("record is not valid JSON: ") + exception.what());
+                "record is not valid JSON: " + std::string(what.substr(what.find(']') + 2)));
   }
   if (check.too_deep_) {
     return Fail(ResultCode::kRecordSyntax,
