scenario: add the Lua scenario runner over fakes on a virtual clock

Cause: faults that coincide need a test that drives coordination, dispatch and outcomes together. Change: fakes of network, platform, targets and callers, a model of an entry host around the real modules, one checker per invariant, scenario_run for one script and seed, a random schedule of two faults.

--- /dev/null
+++ b/tests/scenario/scenario_test.cc
@@ -0,0 +1,53 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <filesystem>
+
+#include "tests/scenario/script.h"
+
+namespace monsoonshelf::scenario {
+
+class ScenarioTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ScenarioTest);
+  CPPUNIT_TEST(EveryScript);
+  CPPUNIT_TEST(RandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Runs every script with a few seeds. What each guards against is its first line.
+  void EveryScript() {
+    std::vector<std::string> files;
+    for (const auto& entry :
+         std::filesystem::directory_iterator(SOURCE_DIR "/tests/scenario/scripts")) {
+      files.push_back(entry.path().string());
+    }
+    std::sort(files.begin(), files.end());
+    CPPUNIT_ASSERT(!files.empty());
+    std::string failures;
+    for (const auto& file : files) {
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        for (const auto& failure : RunScript(file, seed).failures_) {
+          failures += file + " seed " + std::to_string(seed) + ": " + failure + '\n';
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+
+  // Runs a fixed list of random schedules. `scenario_run tests/scenario/random/two_faults.lua 1 0`
+  // continues with more seeds until one fails.
+  void RandomFaults() {
+    constexpr std::uint64_t kSchedules = 1000;
+    std::string failures;
+    for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+      const auto result = RunScript(SOURCE_DIR "/tests/scenario/random/two_faults.lua", seed);
+      if (result.failures_.empty()) continue;
+      failures += "seed " + std::to_string(seed) + ": " + result.failures_.front() + '\n';
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ScenarioTest);
+
+}  // namespace monsoonshelf::scenario
