--- a/tests/scenario/checks.h
+++ b/tests/scenario/checks.h
@@ -37,7 +37,7 @@
   // Compares ledger and responses: invariants 4, 5 and 6.
   void CheckCalls();
 
-  int calls() const { return static_cast<int>(calls_.size()); }
+  int CallCount() const { return static_cast<int>(calls_.size()); }
   std::map<CallOutcome, int> outcomes_;
 
  private:
--- a/tests/scenario/host.cc
+++ b/tests/scenario/host.cc
@@ -115,7 +115,7 @@
   return found == in_effect_.end() ? std::pair(Version{0}, Time{}) : found->second;
 }
 
-void Host::Apply(NodeOutput output) {
+void Host::Apply(const NodeOutput& output) {
   for (const auto& event : output.events_) world_.Sim().Log(Name(), event);
   for (const auto& send : output.peer_sends_) world_.SendPeer(*this, send);
   for (const auto& request : output.platform_requests_) SendPlatformRequest(request);
--- a/tests/scenario/host.h
+++ b/tests/scenario/host.h
@@ -59,7 +59,7 @@
     ShardKey shard_;
   };
 
-  void Apply(coordination::NodeOutput output);
+  void Apply(const coordination::NodeOutput& output);
   void SendPlatformRequest(const coordination::PlatformRequest& request);
   void OnConfiguration();
   void OnRemoteShards(const std::vector<coordination::ShardLoad>& loads);
--- a/tests/scenario/random_test.cc
+++ b/tests/scenario/random_test.cc
@@ -17,7 +17,8 @@
     for (std::uint64_t seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; ++seed) {
       const auto result = RunScript(SOURCE_DIR "/tests/scenario/random/two_faults.lua", seed);
       if (result.failures_.empty()) continue;
-      failures += "seed " + std::to_string(seed) + ": " + result.failures_.front() + '\n';
+      failures.append("seed ").append(std::to_string(seed));
+      failures.append(": ").append(result.failures_.front()).append("\n");
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -26,7 +26,8 @@
     for (const auto& file : files) {
       for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         for (const auto& failure : RunScript(file, seed).failures_) {
-          failures += file + " seed " + std::to_string(seed) + ": " + failure + '\n';
+          failures.append(file).append(" seed ").append(std::to_string(seed));
+          failures.append(": ").append(failure).append("\n");
         }
       }
     }
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -362,7 +362,7 @@
     auto& checks = runner.world_->GetChecks();
     for (const auto& violation : checks.Violations()) runner.failures_.push_back(violation);
     result.timeline_ = runner.world_->Sim().Timeline();
-    result.calls_ = checks.calls();
+    result.calls_ = checks.CallCount();
     result.answered_ = checks.outcomes_[CallOutcome::kAnswered];
     result.not_run_ = checks.outcomes_[CallOutcome::kNotRun];
     result.unknown_ = checks.outcomes_[CallOutcome::kUnknown];
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -17,6 +17,8 @@
          std::to_string(schema) + R"(,"name":")" + name + R"(","spec":)" + spec + "}";
 }
 
+std::string Address(std::size_t number) { return "10.0.0." + std::to_string(number); }
+
 }  // namespace
 
 World::World(const WorldSettings& settings)
@@ -35,7 +37,7 @@
     SetZone(zone, true);
     for (int i = 1; i <= settings_.hosts_per_zone_; ++i) {
       const std::string name = "host-" + zone + std::to_string(i);
-      AddHost(name, zone, "10.0.0." + std::to_string(hosts_.size() + 1));
+      AddHost(name, zone, Address(hosts_.size() + 1));
     }
   }
   for (int i = 1; i <= settings_.services_; ++i) {
@@ -216,9 +218,10 @@
   }
   TargetFake& fake = *found->second;
   auto done = std::make_shared<bool>(false);
-  const std::string zone = from.Zone();
-  const HostName name = from.Name();
-  const TargetFake::Reply once = [=, this, &fake](const TargetAnswer& answer) {
+  // Hosts live as long as the world.
+  const std::string& zone = from.Zone();
+  const HostName& name = from.Name();
+  const TargetFake::Reply once = [=, this, &fake, &zone](const TargetAnswer& answer) {
     if (!network_.Connects(zone, fake.Zone())) return;
     simulation_.After(network_.Delay(zone, fake.Zone()), [=] {
       if (!std::exchange(*done, true)) reply(answer);
@@ -239,7 +242,7 @@
   if (found == targets_.end()) return;
   TargetFake& fake = *found->second;
   auto done = std::make_shared<bool>(false);
-  const std::string zone = from.Zone();
+  const std::string& zone = from.Zone();
   const TargetFake::Reply once = [=](const TargetAnswer& answer) {
     if (!std::exchange(*done, true)) reply(answer);
   };
@@ -287,7 +290,9 @@
   for (const auto& [key, wanted] : accepted_) {
     const auto since = lagging_since_.find({host.Name(), key});
     const Version wanted_version = wanted.first;
-    const auto has = [&](Host& other) { return other.InEffect(key).first >= wanted_version; };
+    const auto has = [&key = key, wanted_version](Host& other) {
+      return other.InEffect(key).first >= wanted_version;
+    };
     bool can_learn = UsesPlatform(host) && !platform_.down_ &&
                      platform_.slowness_ < std::chrono::milliseconds(300);
     for (auto& [name, other] : hosts_) {
