--- a/tests/scenario/checks.h
+++ b/tests/scenario/checks.h
@@ -23,6 +23,10 @@
   std::function<int(const std::string& host, const std::string& target, const std::string& zone)>
       forbidden_by_;
 
+  // Whether a host may use the strict limits of a shard now.
+  std::function<bool(const std::string& host, const std::string& service, const std::string& zone)>
+      holds_;
+
   // Ledger of the targets.
   void OnArrival(const std::string& host, const std::string& target, const std::string& zone);
   void OnRun(const std::string& host, const std::string& id);
