--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -49,7 +49,8 @@
     Put(records::Kind::kService, service, R"({"cold_limit":1,"slots":2,"probes_per_second":2})");
     for (const auto& zone : settings_.zones_) {
       for (int j = 1; j <= settings_.targets_per_shard_; ++j) {
-        const std::string name = service + "-" + zone + std::to_string(j);
+        std::string name = service;
+        name.append("-").append(zone).append(std::to_string(j));
         targets_[name] = std::make_unique<TargetFake>(simulation_, checks_, name, service, zone);
         SetTargetState(name, false);
       }
