--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -64,7 +64,7 @@
   for number in 1 2; do
     index=$((index + 1))
     settings "host-$zone$number" "$zone" "$index"
-    start "host-$zone$number.out" "$product" run --settings "$out/host-$zone$number.toml"
+    start "host-$zone$number.out" "$product" run "$out/host-$zone$number.toml"
     host_pid[host-$zone$number]=$last_pid
     entry+=("127.0.0.1:$((base + 10 + index))")
   done
