dispatch: keep the state of other zones for 45 s and count forwarded calls until they end

Cause: in the demo, callers of a zone that was out got no_target for seconds although two other zones had free targets. Peers send unchanged state every 20 s, but state older than 5 s was ignored. The count of calls sent since the last state only rose, so a zone without new state looked ever busier. Change: state counts for 45 s; a forwarded call stops counting when it ends.

--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -199,6 +199,7 @@
   internal::ObserveForwardRefused(dispatcher, zone, now);
   const auto entry = dispatcher.forwarded_.find(call);
   if (entry == dispatcher.forwarded_.end()) return Settle(dispatcher, now, random);
+  internal::ObserveForwardEnd(dispatcher, entry->second);
   WaitingCall waiting = std::move(entry->second.waiting_);
   dispatcher.forwarded_.erase(entry);
   waiting.refused_zones_.push_back(zone);
@@ -212,7 +213,11 @@
 Actions OnForwardFinished(Dispatcher& dispatcher, CallHandle call, const std::string& /*zone*/,
                           Time now, Random& random) {
   now = Advance(dispatcher, now);
-  dispatcher.forwarded_.erase(call);
+  const auto entry = dispatcher.forwarded_.find(call);
+  if (entry != dispatcher.forwarded_.end()) {
+    internal::ObserveForwardEnd(dispatcher, entry->second);
+    dispatcher.forwarded_.erase(entry);
+  }
   return Settle(dispatcher, now, random);
 }
 
--- a/src/dispatch/internal/placement.cc
+++ b/src/dispatch/internal/placement.cc
@@ -158,7 +158,7 @@
   action.deadline_ = waiting.call_.deadline_;
   action.retry_budget_ = waiting.call_.retry_budget_;
   actions.push_back(action);
-  ++remote.sent_since_update_;
+  ++remote.unreported_;
   dispatcher.forwarded_[action.call_] = {std::move(waiting), action.zone_, now};
 }
 
--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -23,8 +23,9 @@
 // After a refusal the zone gets nothing for a round trip and a half.
 constexpr Duration kRefusalPause = milliseconds(15);
 
-// State that is older says nothing.
-constexpr Duration kMaxAge = std::chrono::seconds(5);
+// Peers send state when it changes and again every 20 s. Older state means that two of those messages
+// were lost or that the zone has no dispatcher.
+constexpr Duration kMaxAge = std::chrono::seconds(45);
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
 
@@ -39,7 +40,7 @@
 double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote, double typical) {
   const double way = 2 * Microseconds(remote.shard_.one_way_delay_);
   const int slots = remote.shard_.ready_targets_ * std::max(1, dispatcher.settings_.limits_.slots_);
-  const int ahead = remote.shard_.queued_ - remote.shard_.free_slots_ + remote.sent_since_update_;
+  const int ahead = remote.shard_.queued_ - remote.shard_.free_slots_ + remote.unreported_;
   return way + std::max(0, ahead + 1) * typical / slots;
 }
 
@@ -63,7 +64,7 @@
   for (auto& [zone, remote] : dispatcher.remotes_) {
     if (!MayForward(waiting, remote, now)) continue;
     const int slots = remote.shard_.ready_targets_ * dispatcher.settings_.limits_.slots_;
-    const int load = remote.shard_.queued_ + remote.sent_since_update_;
+    const int load = remote.shard_.queued_ + remote.unreported_;
     const double weight = static_cast<double>(slots) * slots / (slots + load);
     total += weight;
     if (std::uniform_real_distribution<double>(0, total)(random) < weight) chosen = &remote;
@@ -77,7 +78,7 @@
   RemoteState& remote = dispatcher.remotes_[shard.zone_];
   remote.shard_ = shard;
   remote.updated_ = now;
-  remote.sent_since_update_ = 0;
+  remote.unreported_ = 0;
   const int slots = shard.ready_targets_ * dispatcher.settings_.limits_.slots_;
   if (shard.queued_ > slots) LowerShare(remote, now);
 }
@@ -89,6 +90,13 @@
   remote->second.blocked_until_ = now + kRefusalPause;
 }
 
+void ObserveForwardEnd(Dispatcher& dispatcher, const ForwardedCall& call) {
+  const auto remote = dispatcher.remotes_.find(call.zone_);
+  // The state that arrived after the call was sent already counts it.
+  if (remote == dispatcher.remotes_.end() || call.sent_ < remote->second.updated_) return;
+  remote->second.unreported_ = std::max(0, remote->second.unreported_ - 1);
+}
+
 RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
                         int ahead, Time now, Random& random) {
   const Call& call = waiting.call_;
--- a/src/dispatch/internal/spill_over.h
+++ b/src/dispatch/internal/spill_over.h
@@ -7,6 +7,8 @@
 
 void ObserveRemote(Dispatcher& dispatcher, const RemoteShard& shard, Time now);
 void ObserveForwardRefused(Dispatcher& dispatcher, const std::string& zone, Time now);
+// Counts the end of a forwarded call.
+void ObserveForwardEnd(Dispatcher& dispatcher, const ForwardedCall& call);
 
 // Returns the zone to which a call that waits behind `ahead` others is forwarded, or nothing.
 RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
