--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -25,8 +25,8 @@
 // After a refusal the zone gets nothing for a round trip and a half.
 constexpr Duration kRefusalPause = milliseconds(15);
 
-// Peers send state when it changes and again every 20 s. Older state means that two of those messages
-// were lost or that the zone has no dispatcher.
+// Peers send state when it changes and again every 20 s. Older state means that two of those
+// messages were lost or that the zone has no dispatcher.
 constexpr Duration kMaxAge = std::chrono::seconds(45);
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(SpillsOverByARisingShare);
   CPPUNIT_TEST(ShareFallsFast);
   CPPUNIT_TEST(ZoneWithoutTargetsForwards);
+  CPPUNIT_TEST(UnchangedStateOfAnotherZoneStaysValid);
+  CPPUNIT_TEST(EndedForwardsDoNotLoadAnotherZone);
   CPPUNIT_TEST(RespectsZonePreferenceAndHops);
   CPPUNIT_TEST(RefusedForwardIsPlacedElsewhere);
   CPPUNIT_TEST(SingleFailingTargetYieldsToOtherZone);
@@ -156,6 +158,33 @@
     CPPUNIT_ASSERT(zones["z2"] > 25 && zones["z3"] > 25);
   }
 
+  // Guards against refusals between two messages of a zone whose state does not change: peers send
+  // it only every 20 s.
+  void UnchangedStateOfAnotherZoneStaysValid() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    harness.now_ += std::chrono::seconds(40);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kForward));
+    harness.now_ += std::chrono::seconds(6);
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kNoTarget);
+  }
+
+  // Guards against a zone that looks ever busier because calls that ended still count.
+  void EndedForwardsDoNotLoadAnotherZone() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    for (int call = 0; call < 500; ++call) {
+      const Action forward = harness.Arrive().at(0);
+      CPPUNIT_ASSERT(forward.kind_ == ActionKind::kForward);
+      harness.now_ += milliseconds(1);
+      OnForwardFinished(*harness.dispatcher_, forward.call_, "z2", harness.now_, harness.random_);
+    }
+    ShowRemote(harness, "z3", 10, 0);
+    int to_second = 0;
+    for (int call = 0; call < 100; ++call) to_second += harness.Arrive().at(0).zone_ == "z2";
+    CPPUNIT_ASSERT(to_second > 25);
+  }
+
   void RespectsZonePreferenceAndHops() {
     Harness harness;
     ShowRemote(harness, "z2", 10, 0);
