--- a/src/dispatch/internal/dispatcher_state.h
+++ b/src/dispatch/internal/dispatcher_state.h
@@ -79,7 +79,7 @@
   RemoteShard shard_;
   Time updated_{};
   int unreported_ = 0;  // Calls forwarded after the update that have not ended.
-  double share_ = 0;  // Part of the eligible calls that is forwarded.
+  double share_ = 0;    // Part of the eligible calls that is forwarded.
   Time share_changed_{};
   Time blocked_until_{};
 };
