scripts: stop and kill dispatchers in the demo

Cause: host-a1 and host-c1 need not dispatch any shard, so that the kill could go unnoticed. Change: the demo asks for the dispatcher of a shard and stops or kills that host.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,6 +21,11 @@
 start() { local log=$1; shift; "$@" >"$out/$log" 2>&1 & started+=($!); last_pid=$!; }
 note() { echo "demo step=\"$1\" elapsed_s=$((SECONDS - begin))"; }
 fail() { echo "demo result=failed reason=\"$1\""; exit 1; }
+# The dispatcher of a shard is the first host that is named. Usage: dispatcher_of SERVICE ZONE
+dispatcher_of() {
+  curl -fsS --max-time 3 "http://${entry[3]}/monsoonshelf/v1/entry-hosts?service=$1&zone=$2" |
+    grep -o '"host":"[^"]*"' | head -1 | cut -d'"' -f4
+}
 fetch() { curl -fsS --max-time 3 "$1" >/dev/null; }
 
 settings() { # NAME ZONE INDEX
@@ -100,19 +105,23 @@
 "$product" zone in b --platform "$platform" >"$out/zone-in.txt"
 note "zone b is back with cold targets"
 sleep 3
-kill -TERM "${host_pid[host-a1]}"
-note "graceful stop of host-a1"
+stopped=$(dispatcher_of summit-pages a)
+kill -TERM "${host_pid[$stopped]}"
+note "graceful stop of $stopped"
 sleep 4
-kill -KILL "${host_pid[host-c1]}"
-note "killed host-c1"
-wait "${host_pid[host-a1]}" || fail "host-a1 did not stop gracefully"
-note "host-a1 stopped"
+killed=$(dispatcher_of work-orders c)
+kill -KILL "${host_pid[$killed]}"
+wait "${host_pid[$killed]}" 2>/dev/null || true
+note "killed $killed"
+wait "${host_pid[$stopped]}" || fail "$stopped did not stop gracefully"
+note "$stopped stopped"
 for pid in "${callers[@]}"; do wait "$pid" || fail "a caller got a wrong answer"; done
 note "callers are done"
 
 "$standins" check --outcomes "${outcomes[@]}" --targets "127.0.0.1:$first_target" >"$out/check.txt" || true
-for name in a2 b1 b2 c2; do kill -TERM "${host_pid[host-$name]}"; done
-for name in a2 b1 b2 c2; do wait "${host_pid[host-$name]}" || fail "host-$name did not stop gracefully"; done
+unset "host_pid[$stopped]" "host_pid[$killed]"
+kill -TERM "${host_pid[@]}"
+for name in "${!host_pid[@]}"; do wait "${host_pid[$name]}" || fail "$name did not stop gracefully"; done
 "$product" timeline "$out"/host-*.log --html "$out/timeline.html" >"$out/timeline.txt"
 sum() { cat "$out"/caller-*.log | grep -o "\b$1=[0-9]*" | awk -F= '{ total += $2 } END { print total + 0 }'; }
 value() { grep -o "\b$1=[a-z0-9]*" "$out/check.txt" | cut -d= -f2; }
