entry, coordination: end streamed calls as answered; log records that come into effect

Cause: libsoup finishes a message with the last byte that its length announces, often before the sending task reports the end; such calls were logged as cancelled with outcome unknown. Zone changes were not visible in the timeline. Change: a message whose body was written waits for the end of its call; each record that changes after the start is an event with kind, name, version and state.

--- a/src/coordination/internal/configuration_exchange.cc
+++ b/src/coordination/internal/configuration_exchange.cc
@@ -39,6 +39,23 @@
   return result;
 }
 
+void AddRecordEvent(Step& step, const configuration::RecordVersion& record) {
+  KeyValues fields{{"kind", std::string(NameOf(records::kKindNames, record.key_.first))},
+                   {"name", record.key_.second},
+                   {"version", std::to_string(record.version_)},
+                   {"change", record.text_ ? "written" : "deleted"}};
+  const auto& entry = step.node_.configuration_.entries_.at(record.key_);
+  if (entry.record_ != nullptr) {
+    if (const auto* zone = std::get_if<records::Zone>(&entry.record_->spec_)) {
+      fields.emplace_back("state", NameOf(records::kZoneStateNames, zone->state_));
+    }
+    if (const auto* target = std::get_if<records::Target>(&entry.record_->spec_)) {
+      fields.emplace_back("state", NameOf(records::kTargetStateNames, target->state_));
+    }
+  }
+  AddEvent(step, "record_in_effect", std::move(fields));
+}
+
 void MergeRecords(Step& step, const std::vector<configuration::RecordVersion>& records) {
   auto& node = step.node_;
   for (const auto& record : records) {
@@ -49,6 +66,8 @@
     if (outcome == configuration::MergeOutcome::kAccepted) {
       step.output_.configuration_changed_ = true;
       node.assignments_.ownership_dirty_ = true;
+      // The first list would be one event for each record of the fleet.
+      if (node.exchange_.has_configuration_) AddRecordEvent(step, record);
       continue;
     }
     const auto code = node.configuration_.rejected_.at(record.key_).code_;
--- a/src/entry/internal/caller_call.h
+++ b/src/entry/internal/caller_call.h
@@ -34,6 +34,7 @@
   std::size_t sender_ = 0;    // Data task that streams the response.
   SendId send_ = 0;           // Streamed response; 0: none.
   bool response_complete_ = false;
+  bool wrote_body_ = false;  // libsoup has written the whole body to the caller.
 
   CallEnd end_;
 };
--- a/src/entry/internal/caller_responses.cc
+++ b/src/entry/internal/caller_responses.cc
@@ -160,8 +160,10 @@
   const CallPtr call = Find(handle);
   if (call == nullptr) return;
   if (call->message_ == nullptr) {
-    call->end_.outcome_ = CallOutcome::kUnknown;
-    call->end_.code_ = ResultCode::kCallCancelled;
+    if (!call->wrote_body_ || !complete) {
+      call->end_.outcome_ = CallOutcome::kUnknown;
+      call->end_.code_ = ResultCode::kCallCancelled;
+    }
     ReportEnd(*call, Now());
     calls_.erase(handle);
     return;
@@ -192,6 +194,12 @@
   soup_server_message_unpause(call.message_.get());
 }
 
+void CallerSide::OnWroteBody(SoupServerMessage* message, gpointer data) {
+  if (const CallPtr call = static_cast<CallerSide*>(data)->FindMessage(message)) {
+    call->wrote_body_ = true;
+  }
+}
+
 void CallerSide::OnFinished(SoupServerMessage* message, gpointer data) {
   auto* side = static_cast<CallerSide*>(data);
   if (const CallPtr call = side->FindMessage(message)) side->HandleFinished(call);
@@ -203,8 +211,9 @@
   call->message_.reset();
   const bool ends_elsewhere = call->routed_ && !call->response_complete_;
   if (ends_elsewhere) {
-    // The connection failed first; the router still has to end the call.
-    TellGone(*call, ResultCode::kCallCancelled);
+    // The router still has to end the call. libsoup finishes a message with the last byte that its
+    // length announces, which can be before the end of the response arrives here.
+    if (!call->wrote_body_) TellGone(*call, ResultCode::kCallCancelled);
     return;
   }
   if (call->end_.status_ == 0) {
--- a/src/entry/internal/caller_side.cc
+++ b/src/entry/internal/caller_side.cc
@@ -152,6 +152,7 @@
   by_message_[message] = call;
   g_signal_connect(message, "got-chunk", G_CALLBACK(&CallerSide::OnGotChunk), this);
   g_signal_connect(message, "wrote-chunk", G_CALLBACK(&CallerSide::OnWroteChunk), this);
+  g_signal_connect(message, "wrote-body", G_CALLBACK(&CallerSide::OnWroteBody), this);
   g_signal_connect(message, "finished", G_CALLBACK(&CallerSide::OnFinished), this);
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
   soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
--- a/src/entry/internal/caller_side.h
+++ b/src/entry/internal/caller_side.h
@@ -57,6 +57,7 @@
   static void OnRequest(SoupServer* server, SoupServerMessage* message, const char* path,
                         GHashTable* query, gpointer data);
   static void OnWroteChunk(SoupServerMessage* message, gpointer data);
+  static void OnWroteBody(SoupServerMessage* message, gpointer data);
   static void OnFinished(SoupServerMessage* message, gpointer data);
   static gboolean OnPipeReady(gint descriptor, GIOCondition condition, gpointer data);
 
