timeline, scripts: show zone changes and operator events of the demo

Cause: the page showed neither the zone change nor when the demo killed a host. Change: a change of a zone record is a zone event; the demo writes its own events to the timeline.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,6 +20,8 @@
 trap cleanup EXIT
 start() { local log=$1; shift; "$@" >"$out/$log" 2>&1 & started+=($!); last_pid=$!; }
 note() { echo "demo step=\"$1\" elapsed_s=$((SECONDS - begin))"; }
+# Writes an event of the operator for the timeline. Usage: event NAME [FIELD=VALUE]...
+event() { echo "time=$(date -u +%Y-%m-%dT%H:%M:%S.%6NZ) host=operator event=$*" >>"$out/operator.log"; }
 fail() { echo "demo result=failed reason=\"$1\""; exit 1; }
 # The dispatcher of a shard is the first host that is named. Usage: dispatcher_of SERVICE ZONE
 dispatcher_of() {
@@ -96,20 +98,24 @@
 done
 control=http://127.0.0.1:$first_target/control
 sleep 4
+event zone_out name=b
 "$product" zone out b --platform "$platform" >"$out/zone-out.txt"
 fetch "$control/zone-out?zone=b"
 note "zone b is out"
 sleep 6
 fetch "$control/cold?zone=b"
 fetch "$control/zone-in?zone=b"
+event zone_in name=b
 "$product" zone in b --platform "$platform" >"$out/zone-in.txt"
 note "zone b is back with cold targets"
 sleep 3
 stopped=$(dispatcher_of summit-pages a)
+event stop_requested "name=$stopped"
 kill -TERM "${host_pid[$stopped]}"
 note "graceful stop of $stopped"
 sleep 4
 killed=$(dispatcher_of work-orders c)
+event kill "name=$killed"
 kill -KILL "${host_pid[$killed]}"
 wait "${host_pid[$killed]}" 2>/dev/null || true
 note "killed $killed"
@@ -122,7 +128,7 @@
 unset "host_pid[$stopped]" "host_pid[$killed]"
 kill -TERM "${host_pid[@]}"
 for name in "${!host_pid[@]}"; do wait "${host_pid[$name]}" || fail "$name did not stop gracefully"; done
-"$product" timeline "$out"/host-*.log --html "$out/timeline.html" >"$out/timeline.txt"
+"$product" timeline "$out"/host-*.log "$out/operator.log" --html "$out/timeline.html" >"$out/timeline.txt"
 sum() { cat "$out"/caller-*.log | grep -o "\b$1=[0-9]*" | awk -F= '{ total += $2 } END { print total + 0 }'; }
 value() { grep -o "\b$1=[a-z0-9]*" "$out/check.txt" | cut -d= -f2; }
 result=$(value result)
--- a/src/timeline/internal/log_reader.cc
+++ b/src/timeline/internal/log_reader.cc
@@ -63,6 +63,13 @@
   return EventKind::kOther;
 }
 
+// A change of a zone record is a change of the zone.
+bool IsZoneRecord(const Event& event) {
+  return event.kind_ == EventKind::kRecord &&
+         std::find(event.fields_.begin(), event.fields_.end(),
+                   std::pair<std::string, std::string>("kind", "zone")) != event.fields_.end();
+}
+
 std::optional<Event> ParseEvent(const std::string& line, const std::string& source) {
   auto fields = ParseKeyValues(line);
   if (!fields) return std::nullopt;
@@ -83,6 +90,7 @@
   if (!time || event.name_.empty()) return std::nullopt;
   event.time_ = *time;
   event.kind_ = KindOf(event.name_);
+  if (IsZoneRecord(event)) event.kind_ = EventKind::kZone;
   return event;
 }
 
--- a/src/timeline/internal/timeline_html.cc
+++ b/src/timeline/internal/timeline_html.cc
@@ -124,7 +124,7 @@
       const std::int64_t offset = span_ * tick / kTicks;
       const double x = X(start_ + offset);
       out_ << "<text x=\"" << x << "\" y=\"" << bottom + 16 << "\" text-anchor=\"middle\">+"
-           << static_cast<double>(offset) / 1e6 << " s</text>\n";
+           << static_cast<double>(offset / 100'000) / 10 << " s</text>\n";
     }
   }
 
