--- a/tests/scenario/callers.cc
+++ b/tests/scenario/callers.cc
@@ -8,6 +8,9 @@
 
 constexpr Duration kCacheTime = std::chrono::seconds(2);
 constexpr Duration kRepeatDelay = std::chrono::milliseconds(200);
+constexpr Duration kMinDeadline = std::chrono::milliseconds(500);
+// With two repeats of 1.05 s at most, a call ends within the 5 s that World::Finish waits.
+constexpr Duration kMaxDeadline = std::chrono::seconds(2);
 constexpr int kRepeats = 2;
 constexpr std::size_t kMaxHosts = 4;
 // A caller is near its zone.
@@ -60,8 +63,8 @@
   request.idempotent_ = simulation_.Uniform() < 0.5;
   request.class_ =
       request.idempotent_ ? records::CallClass::kInteractive : records::CallClass::kTransactional;
-  request.deadline_ = simulation_.Now() + std::chrono::milliseconds(500) +
-                      simulation_.Exponential(std::chrono::milliseconds(500));
+  request.deadline_ = simulation_.Now() +
+                      std::min(kMaxDeadline, kMinDeadline + simulation_.Exponential(kMinDeadline));
   const auto hosts = AskForHosts(request.service_, request.zone_);
   if (!hosts.empty()) Attempt(request, hosts, 0, 0);
 }
