control: wait for each step of a key rotation in its test

The test changed the keys of the two hosts without waiting for the first host, so that the order of the steps was not kept and a message could arrive with a key that the other host did not have yet (seen once under the thread sanitizer). The task now logs peer_keys_changed when new keys are in use. A loop over a temporary view read freed memory; the thread sanitizer reported it.

--- a/src/control/internal/control_task.cc
+++ b/src/control/internal/control_task.cc
@@ -67,7 +67,12 @@
   }
 
   void SetKeys(std::vector<peer::Key> keys) {
-    Post([this, keys = std::move(keys)](detail::NodeRunner&) { transport_->SetKeys(keys); });
+    Post([this, keys = std::move(keys)](detail::NodeRunner&) {
+      std::string ids;
+      for (const auto& key : keys) ids += (ids.empty() ? "" : ",") + key.id_;
+      transport_->SetKeys(keys);
+      if (callbacks_.event_) callbacks_.event_({{"event", "peer_keys_changed"}, {"keys", ids}});
+    });
   }
 
  private:
--- a/src/control/tests/control_task_test.cc
+++ b/src/control/tests/control_task_test.cc
@@ -56,10 +56,19 @@
     const std::lock_guard lock(mutex_);
     return remote_shards_;
   }
+  int EventCount(const std::string& name) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = events_.find(name);
+    return found == events_.end() ? 0 : found->second;
+  }
 
  private:
   ControlCallbacks Callbacks() {
     ControlCallbacks callbacks;
+    callbacks.event_ = [this](const KeyValues& event) {
+      const std::lock_guard lock(mutex_);
+      events_[event.front().second]++;
+    };
     callbacks.view_ = [this](const ControlViewPtr& view) {
       const std::lock_guard lock(mutex_);
       view_ = view;
@@ -78,12 +87,14 @@
   mutable std::mutex mutex_;
   ControlViewPtr view_;
   ControlCost cost_;
+  std::map<std::string, int> events_;
   std::vector<coordination::ShardLoad> remote_shards_;
   std::unique_ptr<ControlTask> task_;  // Last: stops before the rest is destroyed.
 };
 
 bool SeesAlive(const Host& host, const std::string& name) {
-  for (const auto& member : host.View()->members_) {
+  const auto view = host.View();
+  for (const auto& member : view->members_) {
     if (member.name_ == name) return member.state_ == coordination::MemberState::kAlive;
   }
   return false;
@@ -197,7 +208,11 @@
     Until([&] { return SeesAlive(a, "b") && SeesAlive(b, "a"); });
     const std::vector<peer::Key> steps[] = {{kOld, kNew}, {kNew, kOld}, {kNew}};
     for (const auto& keys : steps) {
-      for (Host* host : {&a, &b}) CPPUNIT_ASSERT(host->Task().SetKeys(keys));
+      for (Host* host : {&a, &b}) {
+        const int before = host->EventCount("peer_keys_changed");
+        CPPUNIT_ASSERT(host->Task().SetKeys(keys));
+        Until([&] { return host->EventCount("peer_keys_changed") > before; });
+      }
     }
     const auto heard = b.Cost().peer_messages_in_;
     Until([&] { return b.Cost().peer_messages_in_ > heard + 2; });
