build: run the tests of modules with sockets under sanitizers

Change: 'make test' builds platform, peer, control and entry with the address and undefined behaviour sanitizers and runs their tests.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,12 @@
 	@scripts/lint.sh $(BUILD) $(JOBS)
 
 test: format-check build lint
+	@scripts/sanitize.sh $(BUILD) $(JOBS)
 	@scripts/test.sh $(BUILD) $(JOBS)
 
+sanitize: packages
+	@scripts/sanitize.sh $(BUILD) $(JOBS)
+
 demo: build
 	@scripts/demo.sh $(BUILD)
 
