--- /dev/null
+++ b/tests/scenario/scripts/leave.lua
@@ -0,0 +1,18 @@
+-- Guards against a planned stop that interrupts calls, or that is taken for a crash.
+world{hosts_per_zone = 2}
+start()
+run(5000)
+load(60)
+run(1000)
+local old = holders("service1", "a")[1]
+leave(old)
+run(1000)
+for _, host in ipairs(hosts()) do
+  expect(host == old or member(host, old) == "leaving", host .. " knows of the stop")
+  expect(dispatcher(host, "service1", "a") ~= old, "another host dispatches")
+end
+run(2000)
+run(9000)
+local now = holders("service1", "a")
+expect(#now == 1 and now[1] ~= old, "the limits moved")
+expect(events("event=session_fenced") == 0, "they were given up, not taken")
