--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 build=$1
 "$build/bench/monsoonshelf_bench"
+"$build/bench/monsoonshelf_coordination_bench"
--- a/tests/scenario/network.h
+++ b/tests/scenario/network.h
@@ -17,7 +17,8 @@
   double loss_ = 0;
   double duplication_ = 0;
   Duration jitter_ = std::chrono::microseconds(500);
-  std::set<std::string> isolated_;    // Entry hosts cut off from other hosts and the platform.
+  std::set<std::string> isolated_;  // Entry hosts cut off from other hosts and the platform.
+  std::set<std::string> without_platform_;  // Entry hosts cut off from the platform only.
   std::map<std::string, int> group_;  // By zone, and "platform"; groups do not reach each other.
 
   Duration Delay(const std::string& zone, const std::string& other) {
--- a/tests/scenario/random/two_faults.lua
+++ b/tests/scenario/random/two_faults.lua
@@ -26,6 +26,11 @@
     network{loss = 0.02 * random(5), duplication = 0.1, jitter_ms = 5}
     later(ms, function() network{} end)
   end,
+  function(ms)
+    local h = any(hosts())
+    cut_platform(h, true)
+    later(ms, function() cut_platform(h, false) end)
+  end,
   function() target(any(targets()), "reset") end,
   function(ms)
     local t = any(targets())
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -140,6 +140,18 @@
   return 0;
 }
 
+// cut_platform(host, on): the host reaches its peers but not the platform.
+int CutPlatform(lua_State* lua) {
+  auto& cut = WorldOf(lua).Net().without_platform_;
+  WorldOf(lua).Sim().Log("script", {{"event", "cut_platform"}, {"host", Text(lua, 1)}});
+  if (lua_toboolean(lua, 2) != 0) {
+    cut.insert(Text(lua, 1));
+  } else {
+    cut.erase(Text(lua, 1));
+  }
+  return 0;
+}
+
 // split{zone=group, platform=group}: groups do not reach each other.
 int Split(lua_State* lua) {
   auto& groups = WorldOf(lua).Net().group_;
@@ -320,6 +332,7 @@
                                    {"leave", OnHost<&Host::Leave>},
                                    {"add_host", AddHost},
                                    {"isolate", Isolate},
+                                   {"cut_platform", CutPlatform},
                                    {"split", Split},
                                    {"network", SetNetwork},
                                    {"platform", SetPlatform},
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -136,7 +136,9 @@
 }
 
 bool World::UsesPlatform(const Host& host) const {
-  return !network_.isolated_.contains(host.Name()) && network_.Connects(host.Zone(), "platform");
+  return !network_.isolated_.contains(host.Name()) &&
+         !network_.without_platform_.contains(host.Name()) &&
+         network_.Connects(host.Zone(), "platform");
 }
 
 void World::SendPeer(const Host& from, const coordination::PeerSend& send) {
@@ -144,7 +146,7 @@
   if (to == host_by_address_.end()) return;
   Host& receiver = *hosts_.at(to->second);
   if (!Reaches(from, receiver)) return;
-  ++peer_messages_;
+  if (on_peer_send_) on_peer_send_(from, send);
   const auto own = coordination::FindMember(const_cast<Host&>(from).Node(), from.Name());
   const coordination::PeerMessage message{from.Name(), from.CurrentIncarnation(),
                                           own->peer_address_, send.body_};
@@ -159,6 +161,7 @@
   coordination::PlatformReply failure;
   failure.id_ = request.id_;
   failure.operation_ = request.operation_;
+  if (on_platform_) on_platform_(from, request.body_.size());
   if (!UsesPlatform(from)) {
     failure.code_ = ResultCode::kPlatformUnreachable;
     simulation_.After(std::chrono::milliseconds(500), [=] { reply(failure); });
@@ -166,6 +169,11 @@
   }
   const Time end = simulation_.Now() + request.timeout_ + std::chrono::milliseconds(500);
   platform_.Send(request, [=, this, &from](const coordination::PlatformReply& answer) {
+    if (on_platform_) {
+      std::size_t bytes = 0;
+      for (const auto& object : answer.objects_) bytes += object.body_.size() + 60;
+      on_platform_(from, bytes + answer.hosts_.size() * 60);
+    }
     if (UsesPlatform(from)) return reply(answer);
     coordination::PlatformReply lost = failure;
     lost.code_ = ResultCode::kPlatformTimeout;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,7 +67,9 @@
                     Time deadline, std::uint64_t connection, const TargetFake::Reply& reply);
   void Probe(const Host& from, const std::string& target, const TargetFake::Reply& reply);
 
-  std::uint64_t peer_messages_ = 0;
+  // For measurements: each peer message, and the bodies of each platform call and its answer.
+  std::function<void(const Host& from, const coordination::PeerSend& send)> on_peer_send_;
+  std::function<void(const Host& from, std::size_t body_bytes)> on_platform_;
 
  private:
   bool Reaches(const Host& from, const Host& to) const;
