--- a/src/coordination/tests/membership_test.cc
+++ b/src/coordination/tests/membership_test.cc
@@ -38,6 +38,7 @@
     const bool ok = rc::check("any order", [](std::uint64_t seed) {
       Random random(seed);
       std::vector<MemberUpdate> updates;
+      updates.reserve(12);
       for (int i = 0; i < 12; ++i) {
         updates.push_back(Update(static_cast<int>(random() % 3), 1 + random() % 2,
                                  static_cast<std::uint32_t>(random() % 3),
@@ -86,6 +87,7 @@
   void MessagesCarryBoundedUpdates() {
     NodeHarness host;
     std::vector<MemberUpdate> updates;
+    updates.reserve(60);
     for (int i = 0; i < 60; ++i) updates.push_back(Update(i, 1, 0, MemberState::kAlive));
     host.Hear("x", "10.0.9.9:1", Ack{0, {}, updates, ""});
     const auto output = OnPeerMessage(*host.node_, {"m10", 1, "10.0.0.10:1", Ping{1, {}, {}, ""}},
