--- a/bench/dispatcher_policy.cc
+++ b/bench/dispatcher_policy.cc
@@ -264,7 +264,7 @@
   dispatch::RemoteShard StateOf(const Shard& shard) const {
     const auto summary = Summarize(*shard.dispatcher_, world_.Now());
     return {std::to_string(shard.zone_), summary.free_slots_, summary.queued_,
-            summary.ready_targets_, kZoneDelay};
+            summary.ready_targets_,      kZoneDelay,          summary.queued_interactive_};
   }
 
   void SendShardStates() {
--- a/src/coordination/coordination_types.h
+++ b/src/coordination/coordination_types.h
@@ -48,6 +48,7 @@
   int ready_targets_ = 0;
   // Sent when a phase changes and to a member that is new, not with every message.
   std::vector<dispatch::TargetKnowledge> targets_;
+  int queued_interactive_ = -1;  // Interactive calls among those queued; -1: not known.
 };
 
 // Peer messages. An ack answers a ping with the same number; an ack with number 0 answers none and
--- a/src/coordination/internal/shard_exchange.cc
+++ b/src/coordination/internal/shard_exchange.cc
@@ -26,8 +26,10 @@
     return std::abs(left - right) > 2 + std::max(left, right) / 3;
   };
   return crosses_zero(now.free_slots_, sent.free_slots_) ||
-         crosses_zero(now.queued_, sent.queued_) || now.ready_targets_ != sent.ready_targets_ ||
-         changed(now.free_slots_, sent.free_slots_) || changed(now.queued_, sent.queued_);
+         crosses_zero(now.queued_, sent.queued_) ||
+         crosses_zero(now.queued_interactive_, sent.queued_interactive_) ||
+         now.ready_targets_ != sent.ready_targets_ || changed(now.free_slots_, sent.free_slots_) ||
+         changed(now.queued_, sent.queued_);
 }
 
 bool IsSame(const dispatch::TargetKnowledge& left, const dispatch::TargetKnowledge& right) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -91,6 +91,7 @@
   int queued_ = 0;
   int ready_targets_ = 0;
   Duration one_way_delay_{};
+  int queued_interactive_ = -1;  // Interactive calls among those queued; -1: not known.
 };
 
 enum class ActionKind { kSend, kForward, kRefuse, kProbe };
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -91,6 +91,7 @@
 struct ShardSummary {
   int free_slots_ = 0;
   int queued_ = 0;
+  int queued_interactive_ = 0;
   int ready_targets_ = 0;
   std::vector<TargetSummary> targets_;
 };
--- a/src/dispatch/internal/call_queue.cc
+++ b/src/dispatch/internal/call_queue.cc
@@ -35,6 +35,12 @@
   return static_cast<int>(std::distance(queue.waiting_.begin(), end));
 }
 
+int CountClass(const CallQueue& queue, records::CallClass call_class) {
+  return static_cast<int>(std::count_if(
+      queue.waiting_.begin(), queue.waiting_.end(),
+      [call_class](const auto& entry) { return entry.second.call_.class_ == call_class; }));
+}
+
 bool HasClass(const CallQueue& queue, records::CallClass call_class) {
   const int rank = static_cast<int>(call_class);
   const auto first =
--- a/src/dispatch/internal/call_queue.h
+++ b/src/dispatch/internal/call_queue.h
@@ -35,6 +35,7 @@
 std::optional<WaitingCall> Take(CallQueue& queue, CallHandle call);
 // Number of calls that would be served before `call`.
 int CountAhead(const CallQueue& queue, const Call& call);
+int CountClass(const CallQueue& queue, records::CallClass call_class);
 bool HasClass(const CallQueue& queue, records::CallClass call_class);
 // Removes and returns the calls whose deadline is not after `now`.
 std::vector<WaitingCall> TakeExpired(CallQueue& queue, Time now);
--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -318,6 +318,8 @@
   now = std::max(now, dispatcher.now_);
   ShardSummary summary;
   summary.queued_ = static_cast<int>(dispatcher.queue_.waiting_.size());
+  summary.queued_interactive_ =
+      internal::CountClass(dispatcher.queue_, records::CallClass::kInteractive);
   for (const TargetState& target : dispatcher.targets_) {
     const int limit = internal::SlotLimit(dispatcher, target, now);
     const int used = internal::UsedSlots(target, now);
--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -37,11 +37,21 @@
          std::find(tried.begin(), tried.end(), remote.shard_.zone_) == tried.end();
 }
 
+// Calls that go before a new call of the class. Transactional and later calls wait long under load;
+// counted ahead of interactive ones they would keep those in a zone that is worse off.
+int QueuedAhead(const RemoteShard& shard, records::CallClass call_class) {
+  const bool known = shard.queued_interactive_ >= 0;
+  return known && call_class == records::CallClass::kInteractive ? shard.queued_interactive_
+                                                                 : shard.queued_;
+}
+
 // Cost of the other zone in microseconds: the way there and back, and the wait there.
-double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote, double typical) {
+double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote,
+                  records::CallClass call_class, double typical) {
   const double way = 2 * Microseconds(remote.shard_.one_way_delay_);
   const int slots = remote.shard_.ready_targets_ * std::max(1, dispatcher.settings_.limits_.slots_);
-  const int ahead = remote.shard_.queued_ - remote.shard_.free_slots_ + remote.sent_since_update_;
+  const int ahead = QueuedAhead(remote.shard_, call_class) - remote.shard_.free_slots_ +
+                    remote.sent_since_update_;
   return way + std::max(0, ahead + 1) * typical / slots;
 }
 
@@ -86,7 +96,8 @@
   remote.updated_ = now;
   remote.sent_since_update_ = 0;
   const int slots = shard.ready_targets_ * dispatcher.settings_.limits_.slots_;
-  if (shard.queued_ > 2 * slots) LowerShare(remote, now);
+  const int queued = QueuedAhead(shard, records::CallClass::kInteractive);
+  if (queued > 2 * slots) LowerShare(remote, now);
 }
 
 void ObserveForwardRefused(Dispatcher& dispatcher, const std::string& zone, Time now) {
@@ -107,7 +118,7 @@
   double best_cost = wait;
   for (auto& [zone, remote] : dispatcher.remotes_) {
     if (!MayForward(waiting, remote, now)) continue;
-    const double cost = RemoteCost(dispatcher, remote, capacity.typical_us_);
+    const double cost = RemoteCost(dispatcher, remote, call.class_, capacity.typical_us_);
     if (cost >= best_cost) continue;
     best = &remote;
     best_cost = cost;
--- a/src/dispatch/tests/dispatcher_test.cc
+++ b/src/dispatch/tests/dispatcher_test.cc
@@ -22,8 +22,10 @@
   CPPUNIT_TEST(FailFastTargetIsLeftAndFoundAgain);
   CPPUNIT_TEST(FailuresOfNestedCallsAreNotHeldAgainstTargets);
   CPPUNIT_TEST(SlowTargetIsLeft);
+  CPPUNIT_TEST(SlowerSlotServesALongQueue);
   CPPUNIT_TEST(LongCallDoesNotBlockItsTarget);
   CPPUNIT_TEST(ContradictedReportsAreDistrusted);
+  CPPUNIT_TEST(ReportsLoseWeightWithAge);
   CPPUNIT_TEST(NoTargetsAtAll);
   CPPUNIT_TEST(AllDraining);
   CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
@@ -89,11 +91,11 @@
   // because of its expected wait.
   void BatchWaitsUntilItsDeadline() {
     Harness harness({"a"});
-    harness.Teach();
+    harness.Teach(CallClass::kBatch);
     harness.Arrive();
     harness.Arrive();
     Call batch = harness.MakeCall(CallClass::kBatch);
-    batch.deadline_ = harness.now_ + milliseconds(1);
+    batch.deadline_ = harness.now_ + milliseconds(14);
     CPPUNIT_ASSERT(harness.Arrive(batch).empty());
     CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) <= batch.deadline_);
     harness.now_ = batch.deadline_;
@@ -211,6 +213,26 @@
       harness.Finish(sent.call_);
     }
     CPPUNIT_ASSERT(at_slow < 40);
+    // Both slots of the fast target are taken; its next slot comes sooner than the slow answer.
+    for (int call = 0; call < 2; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("b"));
+    CPPUNIT_ASSERT(harness.Arrive().empty());
+  }
+
+  // Guards against calls that go to a slower free slot although waiting is quicker, and against a
+  // slower slot that stays idle while many wait.
+  void SlowerSlotServesALongQueue() {
+    Harness harness({"a", "b"});
+    for (int call = 0; call < 100; ++call) {
+      const Action sent = harness.Arrive().at(0);
+      harness.now_ += milliseconds(sent.target_ == "a" ? 25 : 10);
+      harness.Finish(sent.call_);
+    }
+    for (int call = 0; call < 3; ++call) harness.Arrive();
+    CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("b"));
+    CPPUNIT_ASSERT_EQUAL(0, harness.InFlight("a"));
+    for (int call = 0; call < 7; ++call) harness.Arrive();
+    CPPUNIT_ASSERT(harness.InFlight("a") > 0);
   }
 
   // Guards against a free slot that stays idle beside a long call, for want of a faster target.
@@ -222,9 +244,30 @@
     CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kSend));
   }
 
-  // Guards against an idle target that is passed over because its report claims calls that cannot
-  // be there, and against use of reports that miss calls that are there.
+  // Guards against a target that is passed over because of reports that missed calls seen there.
   void ContradictedReportsAreDistrusted() {
+    const auto next_after = [](int reported) {
+      Harness harness({"a"}, 4);
+      const CallHandle older = harness.Arrive().at(0).call_;
+      for (int call = 0; call < 6; ++call) {
+        harness.now_ += milliseconds(1);
+        harness.Finish(harness.Arrive().at(0).call_, SendResult::kAnswered,
+                       Harness::Report(TargetPhase::kReady, 1, reported));
+      }
+      const CallHandle last = harness.Arrive().at(0).call_;
+      harness.Finish(older, SendResult::kAnswered, std::nullopt);
+      harness.Finish(last, SendResult::kAnswered, Harness::Report(TargetPhase::kReady, 1, 4));
+      OnTargetKnowledge(*harness.dispatcher_, {{"b", TargetPhase::kReady, 1}}, harness.now_);
+      harness.SetTargets({"a", "b"});
+      harness.Arrive();
+      return harness.Arrive().at(0).target_ == harness.sent_.begin()->second.target_;
+    };
+    CPPUNIT_ASSERT(next_after(2));   // Trusted: "a" seems busy, so "b" gets both calls.
+    CPPUNIT_ASSERT(!next_after(0));  // Distrusted: each target gets one.
+  }
+
+  // Guards against collisions with calls of other hosts, and against reports that count for ever.
+  void ReportsLoseWeightWithAge() {
     Harness harness({"a", "b"}, 4);
     const auto busy = Harness::Report(TargetPhase::kReady, 1, 3);
     const CallHandle first = harness.Arrive().at(0).call_;
--- a/src/dispatch/tests/harness.h
+++ b/src/dispatch/tests/harness.h
@@ -94,9 +94,9 @@
   int Queued() const { return Summarize(*dispatcher_, now_).queued_; }
 
   // Answers calls of 10 ms each until the dispatcher has evidence about service times.
-  void Teach(int calls = 30) {
-    for (int call = 0; call < calls; ++call) {
-      const Actions actions = Arrive();
+  void Teach(records::CallClass call_class = records::CallClass::kInteractive) {
+    for (int call = 0; call < 30; ++call) {
+      const Actions actions = Arrive(call_class);
       now_ += milliseconds(10);
       Finish(actions.at(0).call_);
     }
--- a/src/dispatch/tests/limits_test.cc
+++ b/src/dispatch/tests/limits_test.cc
@@ -120,6 +120,11 @@
     CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
     harness.Finish(2, SendResult::kAnswered, Harness::Report(TargetPhase::kCold, 2));
     CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
+    // A new epoch alone shows a restart, whatever the target calls itself.
+    Harness other({"b"});
+    other.Arrive();
+    other.Finish(1, SendResult::kAnswered, Harness::Report(TargetPhase::kReady, 2));
+    CPPUNIT_ASSERT(other.PhaseOf("b") == TargetPhase::kWarming);
   }
 
   // Guards against full load on a target whose restart shows only as a broken connection.
@@ -128,12 +133,12 @@
          {SendResult::kLost, SendResult::kRefused, SendResult::kUnreachable}) {
       Harness harness({"a"});
       for (int call = 0; call < 3; ++call) harness.Arrive();
+      harness.now_ += milliseconds(10);
       harness.Finish(1, result, std::nullopt);
       CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kSuspected);
       CPPUNIT_ASSERT_EQUAL(1, harness.InFlight("a"));
       harness.Finish(2, SendResult::kAnswered, Harness::Report());  // It was sent before the doubt.
-      CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kWarming ||
-                     harness.PhaseOf("a") == TargetPhase::kSuspected);
+      CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kSuspected);
       CPPUNIT_ASSERT_EQUAL(0, harness.InFlight("a"));
     }
   }
@@ -148,6 +153,8 @@
     harness.now_ += milliseconds(10);
     harness.Finish(2, SendResult::kAnswered, Harness::Report(TargetPhase::kReady, 1));
     CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         Summarize(*harness.dispatcher_, harness.now_).targets_.at(0).epoch_);
   }
 
   // Guards against full load on a target that restarted while it was idle.
@@ -188,8 +195,8 @@
       Actions actions;
       if (ends && harness.now_ >= *ends) {
         ends.reset();
-        // Early and late arrivals alternate: the worst case for a budget counted by starts.
-        arrivals.push_back(arrivals.size() % 2 == 0 ? harness.now_ : sent);
+        // A late arrival and an early one after the next: the worst case for a budget by starts.
+        arrivals.push_back(arrivals.size() % 4 < 2 ? harness.now_ : sent);
         actions = harness.Probed("a", Harness::Report(TargetPhase::kCold));
       } else {
         actions = harness.Tick();
--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(RefusalAfterARetryIsUnknown);
   CPPUNIT_TEST(StaysInItsZoneWhileItHasSlots);
   CPPUNIT_TEST(SpillsOverByARisingShare);
+  CPPUNIT_TEST(CountsOnlyCallsAhead);
   CPPUNIT_TEST(ShareFallsFast);
   CPPUNIT_TEST(ZoneWithoutTargetsForwards);
   CPPUNIT_TEST(RespectsZonePreferenceAndHops);
@@ -118,6 +119,20 @@
     CPPUNIT_ASSERT(forwards_of(30) >= 25);
   }
 
+  // Guards against interactive calls that stay because later classes wait in the other zone.
+  void CountsOnlyCallsAhead() {
+    Harness harness({"a"});
+    harness.Teach();
+    for (int call = 0; call < 2; ++call) harness.Arrive();
+    int forwards = 0;
+    for (int call = 0; call < 200; ++call) {
+      harness.now_ += milliseconds(1);
+      OnRemoteShard(*harness.dispatcher_, {"z2", 0, 50, 5, milliseconds(4), 0}, harness.now_);
+      forwards += Count(harness.Arrive(), ActionKind::kForward);
+    }
+    CPPUNIT_ASSERT(forwards > 50);
+  }
+
   void ShareFallsFast() {
     Harness harness({"a"});
     harness.Teach();
@@ -179,6 +194,7 @@
         OnForwardRefused(*harness.dispatcher_, first.call_, "z2", harness.now_, harness.random_)
             .at(0);
     CPPUNIT_ASSERT_EQUAL(std::string("z3"), second.zone_);
+    harness.now_ += milliseconds(100);
     const Action last =
         OnForwardRefused(*harness.dispatcher_, first.call_, "z3", harness.now_, harness.random_)
             .at(0);
--- a/src/peer/internal/body_codec.cc
+++ b/src/peer/internal/body_codec.cc
@@ -176,6 +176,7 @@
                 {"f", std::max(shard.free_slots_, 0)},
                 {"q", std::max(shard.queued_, 0)},
                 {"r", std::max(shard.ready_targets_, 0)}};
+  if (shard.queued_interactive_ >= 0) value["i"] = shard.queued_interactive_;
   if (!shard.targets_.empty()) value["t"] = EncodeList(shard.targets_, &EncodeTarget);
   return value;
 }
@@ -187,6 +188,7 @@
   reader.Count("f", shard.free_slots_);
   reader.Count("q", shard.queued_);
   reader.Count("r", shard.ready_targets_);
+  if (reader.Find("i") != nullptr) reader.Count("i", shard.queued_interactive_);
   if (reader.Find("t") != nullptr) reader.List("t", shard.targets_, &DecodeTarget);
   return reader.IsValid();
 }
--- a/tests/scenario/host.cc
+++ b/tests/scenario/host.cc
@@ -179,7 +179,7 @@
       if (shard.first != load.service_ || shard.second == load.zone_) continue;
       dispatch::OnRemoteShard(*dispatcher,
                               {load.zone_, load.free_slots_, load.queued_, load.ready_targets_,
-                               std::chrono::milliseconds(4)},
+                               std::chrono::milliseconds(4), load.queued_interactive_},
                               now);
     }
   }
@@ -211,8 +211,13 @@
     const auto owner = coordination::DispatcherOf(*node_, shard.first, shard.second);
     if (!owner || owner->name_ != Name()) continue;
     const auto summary = dispatch::Summarize(*dispatcher, now);
-    coordination::ShardLoad load{shard.first,     shard.second,           summary.free_slots_,
-                                 summary.queued_, summary.ready_targets_, {}};
+    coordination::ShardLoad load{shard.first,
+                                 shard.second,
+                                 summary.free_slots_,
+                                 summary.queued_,
+                                 summary.ready_targets_,
+                                 {},
+                                 summary.queued_interactive_};
     for (const auto& target : summary.targets_) {
       load.targets_.push_back({target.name_, target.phase_, target.epoch_});
     }
