dispatch: make the probe budget bind in its test

Cause: with the budget counted by starts of probes instead of their ends the test still passed, since a cold target that answers is probed less often than the budget allows. Change: the test uses a suspected target that does not answer. Conclusion: the test fails with that change of the rule and passes without it.

--- a/src/dispatch/tests/limits_test.cc
+++ b/src/dispatch/tests/limits_test.cc
@@ -187,6 +187,9 @@
     Harness harness;
     harness.SetTargets({"a"});
     harness.Hold(600'000);
+    // A suspected target that does not answer is probed as often as the budget allows.
+    harness.Arrive();
+    harness.Finish(1, SendResult::kUnreachable, std::nullopt);
     std::vector<Time> arrivals;
     std::optional<Time> ends;
     Time sent;
@@ -197,7 +200,7 @@
         ends.reset();
         // A late arrival and an early one after the next: the worst case for a budget by starts.
         arrivals.push_back(arrivals.size() % 4 < 2 ? harness.now_ : sent);
-        actions = harness.Probed("a", Harness::Report(TargetPhase::kCold));
+        actions = harness.Probed("a", std::nullopt);
       } else {
         actions = harness.Tick();
       }
