dispatch: keep calls while the only other zone pauses, try suspected targets without probes

Cause: a zone without own targets refused new calls for 15 ms after another zone had refused one; a suspected target whose load endpoint is out of order never came back. Change: a call waits while another zone may still take it; a suspected target is tried with one call 5 s after its pause although its probes fail.

--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -56,9 +56,12 @@
 
 // Refuses a call that is still queued and has no prospect.
 void Judge(Dispatcher& dispatcher, const Call& call, Time now, Actions& actions) {
-  if (!dispatcher.queue_.keys_.contains(call.handle_)) return;
+  const auto key = dispatcher.queue_.keys_.find(call.handle_);
+  if (key == dispatcher.queue_.keys_.end()) return;
+  const WaitingCall& waiting = dispatcher.queue_.waiting_.at(key->second);
   ResultCode code = ResultCode::kNoTarget;
-  if (internal::AnyTargetMayRecover(dispatcher)) {
+  if (internal::AnyTargetMayRecover(dispatcher) ||
+      internal::AnyZoneMayTake(dispatcher, waiting, now)) {
     code = internal::Admit(dispatcher, internal::CurrentCapacity(dispatcher, now), call, now);
   }
   if (code == ResultCode::kOk) return;
--- a/src/dispatch/internal/phases.cc
+++ b/src/dispatch/internal/phases.cc
@@ -23,6 +23,10 @@
 
 constexpr Duration kFirstPause = milliseconds(200);
 constexpr int kMaxPauseDoublings = 5;
+
+// A load endpoint can be out of order while its target works, so a target whose probes fail is
+// tried with a call after this time.
+constexpr Duration kProbePatience = std::chrono::seconds(5);
 constexpr int kTimeoutsToDoubt = 3;
 
 // A target that was full is tried again after about half a mean service time of the design load.
@@ -236,9 +240,11 @@
 }
 
 void EndPauses(Dispatcher& dispatcher, Time now) {
-  if (dispatcher.settings_.limits_.probes_per_second_ > 0) return;
+  const bool probed = dispatcher.settings_.limits_.probes_per_second_ > 0;
+  const Duration patience = probed ? kProbePatience : Duration(0);
   for (TargetState& target : dispatcher.targets_) {
-    if (target.phase_ != TargetPhase::kSuspected || now < target.pause_end_) continue;
+    if (target.phase_ != TargetPhase::kSuspected) continue;
+    if (now < target.pause_end_ + patience) continue;
     Apply(target, TargetEvent::kPauseEnded, now);
   }
 }
--- a/src/dispatch/internal/phases.h
+++ b/src/dispatch/internal/phases.h
@@ -63,7 +63,7 @@
 // Takes in what an earlier dispatcher knew, unless this one has seen the target itself.
 void ApplyKnowledge(TargetState& target, const TargetKnowledge& known, Time now);
 
-// Ends the pauses of suspected targets that cannot be probed.
+// Ends the pauses of suspected targets that are not probed or do not answer probes.
 void EndPauses(Dispatcher& dispatcher, Time now);
 
 }  // namespace monsoonshelf::dispatch::internal
--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -31,13 +31,20 @@
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
 
-bool MayForward(const WaitingCall& waiting, const RemoteState& remote, Time now) {
+bool MayLeaveZone(const Call& call) {
+  return !call.forwarded_ && call.zone_preference_ != records::ZonePreference::kOwnOnly;
+}
+
+bool IsOption(const WaitingCall& waiting, const RemoteState& remote, Time now) {
   const auto& tried = waiting.refused_zones_;
-  return remote.shard_.ready_targets_ > 0 && now >= remote.blocked_until_ &&
-         now - remote.updated_ < kMaxAge &&
+  return remote.shard_.ready_targets_ > 0 && now - remote.updated_ < kMaxAge &&
          std::find(tried.begin(), tried.end(), remote.shard_.zone_) == tried.end();
 }
 
+bool MayForward(const WaitingCall& waiting, const RemoteState& remote, Time now) {
+  return now >= remote.blocked_until_ && IsOption(waiting, remote, now);
+}
+
 // Calls that go before a new call of the class. Transactional and later calls wait long under load;
 // counted ahead of interactive ones they would keep those in a zone that is worse off.
 int QueuedAhead(const RemoteShard& shard, records::CallClass call_class) {
@@ -115,10 +122,16 @@
   remote->second.unreported_ = std::max(0, remote->second.unreported_ - 1);
 }
 
+bool AnyZoneMayTake(const Dispatcher& dispatcher, const WaitingCall& waiting, Time now) {
+  return MayLeaveZone(waiting.call_) &&
+         std::any_of(dispatcher.remotes_.begin(), dispatcher.remotes_.end(),
+                     [&](const auto& entry) { return IsOption(waiting, entry.second, now); });
+}
+
 RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
                         int ahead, Time now, Random& random) {
   const Call& call = waiting.call_;
-  if (call.forwarded_ || call.zone_preference_ == records::ZonePreference::kOwnOnly) return nullptr;
+  if (!MayLeaveZone(call)) return nullptr;
   if (capacity.limit_ == 0) return ChooseByWeight(dispatcher, waiting, now, random);
   if (now < waiting.next_spill_) return nullptr;
   const double wait = ExpectedWait(capacity, ahead);
--- a/src/dispatch/internal/spill_over.h
+++ b/src/dispatch/internal/spill_over.h
@@ -10,6 +10,9 @@
 // Counts the end of a forwarded call.
 void ObserveForwardEnd(Dispatcher& dispatcher, const ForwardedCall& call);
 
+// True if another zone may take the call, now or after a pause.
+bool AnyZoneMayTake(const Dispatcher& dispatcher, const WaitingCall& waiting, Time now);
+
 // Returns the zone to which a call that waits behind `ahead` others is forwarded, or nothing.
 RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
                         int ahead, Time now, Random& random);
--- a/src/dispatch/tests/limits_test.cc
+++ b/src/dispatch/tests/limits_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(LateReportOfAnOldEpochIsIgnored);
   CPPUNIT_TEST(SilentTargetGetsOneCallUntilItResponds);
   CPPUNIT_TEST(FullTargetIsNotSuspected);
+  CPPUNIT_TEST(SuspectedTargetIsTriedWithoutProbes);
   CPPUNIT_TEST(ProbesKeepTheirBudget);
   CPPUNIT_TEST(ProbesNeedTheAssignment);
   CPPUNIT_TEST_SUITE_END();
@@ -169,6 +170,19 @@
     CPPUNIT_ASSERT_EQUAL(2, harness.InFlight("a"));
   }
 
+  // Guards against the loss of a target whose load endpoint is out of order.
+  void SuspectedTargetIsTriedWithoutProbes() {
+    Harness harness({"a"});
+    harness.Hold(60'000);
+    harness.Arrive();
+    harness.Finish(1, SendResult::kUnreachable, std::nullopt);
+    harness.now_ += std::chrono::seconds(4);
+    CPPUNIT_ASSERT_EQUAL(0, Count(harness.Arrive(), ActionKind::kSend));
+    harness.now_ += std::chrono::seconds(2);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kSend));
+    CPPUNIT_ASSERT(harness.PhaseOf("a") == TargetPhase::kCold);
+  }
+
   // Guards against the loss of a healthy target while another host sends to it too.
   void FullTargetIsNotSuspected() {
     Harness harness({"a"});
--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(EndedForwardsDoNotLoadAnotherZone);
   CPPUNIT_TEST(RespectsZonePreferenceAndHops);
   CPPUNIT_TEST(RefusedForwardIsPlacedElsewhere);
+  CPPUNIT_TEST(WaitsWhileTheOtherZonePauses);
   CPPUNIT_TEST(SingleFailingTargetYieldsToOtherZone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +232,18 @@
     CPPUNIT_ASSERT(last.outcome_ == CallOutcome::kNotRun);
   }
 
+  // Guards against refusals while the only other zone pauses after it refused another call.
+  void WaitsWhileTheOtherZonePauses() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    const CallHandle first = harness.Arrive().at(0).call_;
+    OnForwardRefused(*harness.dispatcher_, first, "z2", harness.now_, harness.random_);
+    CPPUNIT_ASSERT(harness.Arrive().empty());
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) <= harness.now_ + milliseconds(20));
+    harness.now_ += milliseconds(20);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Tick(), ActionKind::kForward));
+  }
+
   // A zone with a single target: its failures move the calls only if another zone has targets.
   void SingleFailingTargetYieldsToOtherZone() {
     const auto forwards_with = [](bool other_zone) {
