dispatch: end a retried call as unknown when its last target refuses it

Change: such a call ends with a refusal action whose outcome is unknown. The property test checks that no call that ran ends as not run.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -39,7 +39,8 @@
 Actions OnCallArrived(Dispatcher& dispatcher, const Call& call, Time now, Random& random);
 
 // A send ended. `report` is the load header of the answer, if there was one. The dispatcher either
-// retries the call (kSend, kForward), or names it in no action: then the result goes to the caller.
+// retries the call (kSend, kForward), refuses it (kRefuse: as unknown, if this target did not run
+// it but an earlier one may have), or names it in no action: then the result goes to the caller.
 // `call_finished` tells which.
 Actions OnSendFinished(Dispatcher& dispatcher, CallHandle call, const std::string& target,
                        SendResult result, const std::optional<LoadReport>& report, Time now,
--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -183,6 +183,12 @@
     *call_finished = false;
     sent.waiting_.failed_target_ = target;
     internal::Push(dispatcher.queue_, std::move(sent.waiting_));
+  } else if (sent.waiting_.may_have_run_ && internal::SurelyNotRun(result)) {
+    // The last target did not run the call, but an earlier one may have.
+    *call_finished = false;
+    const bool refused = result == SendResult::kRefused;
+    const auto code = refused ? ResultCode::kTargetRefused : ResultCode::kTargetUnreachable;
+    return Settle(dispatcher, now, random, {Refusal(sent.waiting_, code)});
   }
   return Settle(dispatcher, now, random);
 }
--- a/src/dispatch/tests/property_test.cc
+++ b/src/dispatch/tests/property_test.cc
@@ -103,6 +103,8 @@
     RC_ASSERT(runs_[call] <= 1);
     const Actions actions = harness_.Finish(call, result, report);
     if (harness_.finished_) open_.erase(call);
+    const bool not_run = result == SendResult::kRefused || result == SendResult::kUnreachable;
+    if (harness_.finished_ && not_run) RC_ASSERT(runs_[call] % 100 == 0);
     Check(actions);
   }
 
--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(RepeatsOtherCallsOnlyAfterProvenNotRun);
   CPPUNIT_TEST(RetriesKeepAttemptsAndBudgets);
   CPPUNIT_TEST(RefusalAfterARetryIsUnknown);
+  CPPUNIT_TEST(RefusedRetryIsUnknown);
   CPPUNIT_TEST(StaysInItsZoneWhileItHasSlots);
   CPPUNIT_TEST(SpillsOverByARisingShare);
   CPPUNIT_TEST(CountsOnlyCallsAhead);
@@ -91,6 +92,19 @@
     CPPUNIT_ASSERT_EQUAL(0, harness.Queued());
   }
 
+  // Guards against "not run" for a call whose second target refused it after the first ran it.
+  void RefusedRetryIsUnknown() {
+    Harness harness({"a", "b"});
+    EarnTokens(harness);
+    const CallHandle call = harness.Arrive().at(0).call_;
+    harness.Finish(call, SendResult::kLost, std::nullopt);
+    const Actions actions = harness.Finish(call, SendResult::kRefused, std::nullopt);
+    CPPUNIT_ASSERT(!harness.finished_);
+    CPPUNIT_ASSERT(actions.at(0).kind_ == ActionKind::kRefuse);
+    CPPUNIT_ASSERT(actions.at(0).outcome_ == CallOutcome::kUnknown);
+    CPPUNIT_ASSERT(actions.at(0).code_ == ResultCode::kTargetRefused);
+  }
+
   void StaysInItsZoneWhileItHasSlots() {
     Harness harness({"a"});
     harness.Teach();
