--- a/src/entry/internal/caller_responses.cc
+++ b/src/entry/internal/caller_responses.cc
@@ -179,7 +179,7 @@
 
 void CallerSide::Abort(CallerCall& call) {
   if (call.message_ == nullptr) return;
-  GSocket* socket = soup_server_message_get_socket(call.message_.get());
+  GSocket* socket = SocketOf(call);
   if (socket == nullptr) return;
   // A reset, because a plain close would look like the end of a body that has no length.
   const linger reset{1, 0};
--- a/src/entry/internal/caller_side.cc
+++ b/src/entry/internal/caller_side.cc
@@ -22,6 +22,7 @@
 
 // Calls younger than this are not checked for a caller that went away: most end before.
 constexpr Duration kGoneCheckAge = std::chrono::milliseconds(20);
+constexpr char kSocketKey[] = "monsoonshelf-socket";
 // Extra time for the router to end a call at its deadline.
 constexpr Duration kRequestGrace = std::chrono::seconds(1);
 
@@ -110,6 +111,9 @@
   GObjectPtr<GSocketAddress> local(g_socket_get_local_address(socket, nullptr));
   GObjectPtr<GSocketAddress> remote(g_socket_get_remote_address(socket, nullptr));
   if (local == nullptr || remote == nullptr) return;
+  // libsoup does not know the socket of a connection that it did not accept itself, but hands out
+  // this address object with each message.
+  g_object_set_data_full(G_OBJECT(remote.get()), kSocketKey, g_object_ref(socket), g_object_unref);
   if (!soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(),
                                    remote.get(), nullptr)) {
     return;
@@ -129,6 +133,14 @@
   connections_.push_back(reference);
 }
 
+GSocket* CallerSide::SocketOf(const CallerCall& call) {
+  if (call.message_ == nullptr) return nullptr;
+  GSocketAddress* remote = soup_server_message_get_remote_address(call.message_.get());
+  if (remote == nullptr) return nullptr;
+  auto* socket = static_cast<GSocket*>(g_object_get_data(G_OBJECT(remote), kSocketKey));
+  return socket != nullptr && !g_socket_is_closed(socket) ? socket : nullptr;
+}
+
 CallerSide::CallPtr CallerSide::Find(CallHandle handle) {
   const auto found = calls_.find(handle);
   return found == calls_.end() ? nullptr : found->second;
@@ -374,7 +386,7 @@
     if (now - call->head_->received_ >= kGoneCheckAge) old.push_back(call);
   }
   for (const auto& call : old) {
-    GSocket* socket = soup_server_message_get_socket(call->message_.get());
+    GSocket* socket = SocketOf(*call);
     if (socket != nullptr && PeerClosed(socket)) {
       TellGone(*call, ResultCode::kCallCancelled);
     } else if (!call->responded_ && !call->body_complete_ &&
@@ -387,8 +399,7 @@
 std::size_t CallerSide::CloseIdle() {
   std::set<GSocket*> busy;
   for (const auto& [handle, call] : calls_) {
-    if (call->message_ != nullptr)
-      busy.insert(soup_server_message_get_socket(call->message_.get()));
+    if (call->message_ != nullptr) busy.insert(SocketOf(*call));
   }
   for (GWeakRef* reference : connections_) {
     auto* object = static_cast<GSocketConnection*>(g_weak_ref_get(reference));
--- a/src/entry/internal/caller_side.h
+++ b/src/entry/internal/caller_side.h
@@ -60,6 +60,7 @@
   static void OnFinished(SoupServerMessage* message, gpointer data);
   static gboolean OnPipeReady(gint descriptor, GIOCondition condition, gpointer data);
 
+  static GSocket* SocketOf(const CallerCall& call);  // Null once it is closed.
   CallPtr Find(CallHandle handle);
   CallPtr FindMessage(SoupServerMessage* message);
   void Begin(SoupServerMessage* message, const char* path);
--- a/src/entry/internal/router.cc
+++ b/src/entry/internal/router.cc
@@ -135,6 +135,7 @@
   order.request_.body_ = call.arrival_.body_;
   order.request_.body_length_ = head.body_length_;
   order.request_.call_id_ = head.call_id_;
+  order.request_.new_connection_ = !head.idempotent_;
   port_.Send(std::move(order));
 }
 
--- a/src/entry/internal/soup_target_client.cc
+++ b/src/entry/internal/soup_target_client.cc
@@ -122,7 +122,11 @@
   if (uri == nullptr) return nullptr;
   GObjectPtr<SoupMessage> message(soup_message_new_from_uri(request.method_.c_str(), uri));
   g_uri_unref(uri);
-  soup_message_set_flags(message.get(), SOUP_MESSAGE_NO_REDIRECT);
+  // Without the idempotent flag libsoup opens a connection for each POST.
+  const int connection_flag =
+      request.new_connection_ ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT;
+  soup_message_set_flags(message.get(),
+                         static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | connection_flag));
   SoupMessageHeaders* headers = soup_message_get_request_headers(message.get());
   for (const auto& [name, value] : request.headers_) {
     soup_message_headers_append(headers, name.c_str(), value.c_str());
--- a/src/entry/itarget_client.h
+++ b/src/entry/itarget_client.h
@@ -23,6 +23,9 @@
   std::int64_t body_length_ = 0;  // -1: chunked.
   std::string call_id_;           // The response must echo it; empty: no check.
   Time deadline_{};
+  // Opens a connection for this call alone: a kept one may be closed by the target at the moment
+  // of sending, which leaves the outcome of the call unknown.
+  bool new_connection_ = false;
 };
 
 // How a send ended.
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -21,6 +21,8 @@
     settings_.incarnation_ = 7;
     settings_.zone_ = "z1";
     settings_.random_seed_ = 1;
+    // Probes would appear among the requests that the fake targets count.
+    service_.probes_per_second_ = 0;
     EntryCallbacks callbacks;
     callbacks.call_end_ = [this](const CallEnd& end) {
       const std::lock_guard lock(mutex_);
--- a/src/entry/tests/mocks/fake_target.h
+++ b/src/entry/tests/mocks/fake_target.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -40,8 +41,15 @@
 
   bool IsOpen() const { return descriptor_ >= 0; }
   void Close() {
+    const std::lock_guard lock(*mutex_);
     if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
   }
+  // Ends a blocked read; the only function that another thread may call.
+  void Shutdown() {
+    const std::lock_guard lock(*mutex_);
+    if (descriptor_ >= 0) shutdown(descriptor_, SHUT_RDWR);
+  }
+  void EndWriting() { shutdown(descriptor_, SHUT_WR); }
   void Reset() {
     const linger reset{1, 0};
     setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
@@ -90,6 +98,7 @@
 
   int descriptor_;
   std::string buffer_;
+  std::unique_ptr<std::mutex> mutex_ = std::make_unique<std::mutex>();
 };
 
 inline std::string HeaderOf(const std::string& head, const std::string& name) {
@@ -120,7 +129,7 @@
     shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
     close(listener_);
-    for (const int descriptor : descriptors_) shutdown(descriptor, SHUT_RDWR);
+    for (auto& connection : accepted_) connection->Shutdown();
     for (auto& thread : threads_) thread.join();
   }
 
@@ -133,11 +142,10 @@
       const int descriptor = accept(listener_, nullptr, nullptr);
       if (descriptor < 0) return;
       ++connections_;
-      // The duplicate lets the destructor end a blocked handler.
-      descriptors_.push_back(dup(descriptor));
-      threads_.emplace_back([this, descriptor] {
-        Connection connection(descriptor);
-        handler_(connection);
+      accepted_.push_back(std::make_shared<Connection>(descriptor));
+      threads_.emplace_back([this, connection = accepted_.back()] {
+        handler_(*connection);
+        connection->Close();
       });
     }
   }
@@ -146,7 +154,7 @@
   int listener_;
   std::string address_;
   std::atomic<int> connections_{0};
-  std::vector<int> descriptors_;
+  std::vector<std::shared_ptr<Connection>> accepted_;
   std::vector<std::thread> threads_;
   std::thread acceptor_;
 };
