--- a/src/dispatch/internal/dispatcher_state.h
+++ b/src/dispatch/internal/dispatcher_state.h
@@ -78,8 +78,8 @@
 struct RemoteState {
   RemoteShard shard_;
   Time updated_{};
-  int sent_since_update_ = 0;
-  double share_ = 0;  // Part of the eligible calls that is forwarded.
+  int unreported_ = 0;  // Calls forwarded after the update that have not ended.
+  double share_ = 0;    // Part of the eligible calls that is forwarded.
   Time share_changed_{};
   Time blocked_until_{};
 };
@@ -107,6 +107,7 @@
   std::array<internal::ServiceTime, 4> service_times_;  // By class.
   double retry_tokens_ = 1;
   Time last_interactive_ = Time::min();
+  Time ticked_{};             // Time of the last tick.
   Time now_{};                // Latest time seen.
   bool advance_due_ = false;  // A change that returned no actions waits for the next tick.
 };
--- a/src/dispatch/internal/spill_over.cc
+++ b/src/dispatch/internal/spill_over.cc
@@ -25,23 +25,41 @@
 // After a refusal the zone gets nothing for a round trip and a half.
 constexpr Duration kRefusalPause = milliseconds(15);
 
-// State that is older says nothing.
-constexpr Duration kMaxAge = std::chrono::seconds(5);
+// Peers send state when it changes and again every 20 s. Older state means that two of those
+// messages were lost or that the zone has no dispatcher.
+constexpr Duration kMaxAge = std::chrono::seconds(45);
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
 
-bool MayForward(const WaitingCall& waiting, const RemoteState& remote, Time now) {
+bool MayLeaveZone(const Call& call) {
+  return !call.forwarded_ && call.zone_preference_ != records::ZonePreference::kOwnOnly;
+}
+
+bool IsOption(const WaitingCall& waiting, const RemoteState& remote, Time now) {
   const auto& tried = waiting.refused_zones_;
-  return remote.shard_.ready_targets_ > 0 && now >= remote.blocked_until_ &&
-         now - remote.updated_ < kMaxAge &&
+  return remote.shard_.ready_targets_ > 0 && now - remote.updated_ < kMaxAge &&
          std::find(tried.begin(), tried.end(), remote.shard_.zone_) == tried.end();
 }
 
+bool MayForward(const WaitingCall& waiting, const RemoteState& remote, Time now) {
+  return now >= remote.blocked_until_ && IsOption(waiting, remote, now);
+}
+
+// Calls that go before a new call of the class. Transactional and later calls wait long under load;
+// counted ahead of interactive ones they would keep those in a zone that is worse off.
+int QueuedAhead(const RemoteShard& shard, records::CallClass call_class) {
+  const bool known = shard.queued_interactive_ >= 0;
+  return known && call_class == records::CallClass::kInteractive ? shard.queued_interactive_
+                                                                 : shard.queued_;
+}
+
 // Cost of the other zone in microseconds: the way there and back, and the wait there.
-double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote, double typical) {
+double RemoteCost(const Dispatcher& dispatcher, const RemoteState& remote,
+                  records::CallClass call_class, double typical) {
   const double way = 2 * Microseconds(remote.shard_.one_way_delay_);
   const int slots = remote.shard_.ready_targets_ * std::max(1, dispatcher.settings_.limits_.slots_);
-  const int ahead = remote.shard_.queued_ - remote.shard_.free_slots_ + remote.sent_since_update_;
+  const int ahead =
+      QueuedAhead(remote.shard_, call_class) - remote.shard_.free_slots_ + remote.unreported_;
   return way + std::max(0, ahead + 1) * typical / slots;
 }
 
@@ -70,7 +88,7 @@
   for (auto& [zone, remote] : dispatcher.remotes_) {
     if (!MayForward(waiting, remote, now)) continue;
     const int slots = remote.shard_.ready_targets_ * dispatcher.settings_.limits_.slots_;
-    const int load = remote.shard_.queued_ + remote.sent_since_update_;
+    const int load = remote.shard_.queued_ + remote.unreported_;
     const double weight = static_cast<double>(slots) * slots / (slots + load);
     total += weight;
     if (std::uniform_real_distribution<double>(0, total)(random) < weight) chosen = &remote;
@@ -84,9 +102,10 @@
   RemoteState& remote = dispatcher.remotes_[shard.zone_];
   remote.shard_ = shard;
   remote.updated_ = now;
-  remote.sent_since_update_ = 0;
+  remote.unreported_ = 0;
   const int slots = shard.ready_targets_ * dispatcher.settings_.limits_.slots_;
-  if (shard.queued_ > 2 * slots) LowerShare(remote, now);
+  const int queued = QueuedAhead(shard, records::CallClass::kInteractive);
+  if (queued > 2 * slots) LowerShare(remote, now);
 }
 
 void ObserveForwardRefused(Dispatcher& dispatcher, const std::string& zone, Time now) {
@@ -96,10 +115,23 @@
   remote->second.blocked_until_ = now + kRefusalPause;
 }
 
+void ObserveForwardEnd(Dispatcher& dispatcher, const ForwardedCall& call) {
+  const auto remote = dispatcher.remotes_.find(call.zone_);
+  // The state that arrived after the call was sent already counts it.
+  if (remote == dispatcher.remotes_.end() || call.sent_ < remote->second.updated_) return;
+  remote->second.unreported_ = std::max(0, remote->second.unreported_ - 1);
+}
+
+bool AnyZoneMayTake(const Dispatcher& dispatcher, const WaitingCall& waiting, Time now) {
+  return MayLeaveZone(waiting.call_) &&
+         std::any_of(dispatcher.remotes_.begin(), dispatcher.remotes_.end(),
+                     [&](const auto& entry) { return IsOption(waiting, entry.second, now); });
+}
+
 RemoteState* ChooseZone(Dispatcher& dispatcher, const Capacity& capacity, WaitingCall& waiting,
                         int ahead, Time now, Random& random) {
   const Call& call = waiting.call_;
-  if (call.forwarded_ || call.zone_preference_ == records::ZonePreference::kOwnOnly) return nullptr;
+  if (!MayLeaveZone(call)) return nullptr;
   if (capacity.limit_ == 0) return ChooseByWeight(dispatcher, waiting, now, random);
   if (now < waiting.next_spill_) return nullptr;
   const double wait = ExpectedWait(capacity, ahead);
@@ -107,7 +139,7 @@
   double best_cost = wait;
   for (auto& [zone, remote] : dispatcher.remotes_) {
     if (!MayForward(waiting, remote, now)) continue;
-    const double cost = RemoteCost(dispatcher, remote, capacity.typical_us_);
+    const double cost = RemoteCost(dispatcher, remote, call.class_, capacity.typical_us_);
     if (cost >= best_cost) continue;
     best = &remote;
     best_cost = cost;
--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -13,10 +13,14 @@
   CPPUNIT_TEST(RefusalAfterARetryIsUnknown);
   CPPUNIT_TEST(StaysInItsZoneWhileItHasSlots);
   CPPUNIT_TEST(SpillsOverByARisingShare);
+  CPPUNIT_TEST(CountsOnlyCallsAhead);
   CPPUNIT_TEST(ShareFallsFast);
   CPPUNIT_TEST(ZoneWithoutTargetsForwards);
+  CPPUNIT_TEST(UnchangedStateOfAnotherZoneStaysValid);
+  CPPUNIT_TEST(EndedForwardsDoNotLoadAnotherZone);
   CPPUNIT_TEST(RespectsZonePreferenceAndHops);
   CPPUNIT_TEST(RefusedForwardIsPlacedElsewhere);
+  CPPUNIT_TEST(WaitsWhileTheOtherZonePauses);
   CPPUNIT_TEST(SingleFailingTargetYieldsToOtherZone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -118,6 +122,20 @@
     CPPUNIT_ASSERT(forwards_of(30) >= 25);
   }
 
+  // Guards against interactive calls that stay because later classes wait in the other zone.
+  void CountsOnlyCallsAhead() {
+    Harness harness({"a"});
+    harness.Teach();
+    for (int call = 0; call < 2; ++call) harness.Arrive();
+    int forwards = 0;
+    for (int call = 0; call < 200; ++call) {
+      harness.now_ += milliseconds(1);
+      OnRemoteShard(*harness.dispatcher_, {"z2", 0, 50, 5, milliseconds(4), 0}, harness.now_);
+      forwards += Count(harness.Arrive(), ActionKind::kForward);
+    }
+    CPPUNIT_ASSERT(forwards > 50);
+  }
+
   void ShareFallsFast() {
     Harness harness({"a"});
     harness.Teach();
@@ -156,6 +174,33 @@
     CPPUNIT_ASSERT(zones["z2"] > 25 && zones["z3"] > 25);
   }
 
+  // Guards against refusals between two messages of a zone whose state does not change: peers send
+  // it only every 20 s.
+  void UnchangedStateOfAnotherZoneStaysValid() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    harness.now_ += std::chrono::seconds(40);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Arrive(), ActionKind::kForward));
+    harness.now_ += std::chrono::seconds(6);
+    CPPUNIT_ASSERT(harness.Arrive().at(0).code_ == ResultCode::kNoTarget);
+  }
+
+  // Guards against a zone that looks ever busier because calls that ended still count.
+  void EndedForwardsDoNotLoadAnotherZone() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    for (int call = 0; call < 500; ++call) {
+      const Action forward = harness.Arrive().at(0);
+      CPPUNIT_ASSERT(forward.kind_ == ActionKind::kForward);
+      harness.now_ += milliseconds(1);
+      OnForwardFinished(*harness.dispatcher_, forward.call_, "z2", harness.now_, harness.random_);
+    }
+    ShowRemote(harness, "z3", 10, 0);
+    int to_second = 0;
+    for (int call = 0; call < 100; ++call) to_second += harness.Arrive().at(0).zone_ == "z2";
+    CPPUNIT_ASSERT(to_second > 25);
+  }
+
   void RespectsZonePreferenceAndHops() {
     Harness harness;
     ShowRemote(harness, "z2", 10, 0);
@@ -179,6 +224,7 @@
         OnForwardRefused(*harness.dispatcher_, first.call_, "z2", harness.now_, harness.random_)
             .at(0);
     CPPUNIT_ASSERT_EQUAL(std::string("z3"), second.zone_);
+    harness.now_ += milliseconds(100);
     const Action last =
         OnForwardRefused(*harness.dispatcher_, first.call_, "z3", harness.now_, harness.random_)
             .at(0);
@@ -186,6 +232,18 @@
     CPPUNIT_ASSERT(last.outcome_ == CallOutcome::kNotRun);
   }
 
+  // Guards against refusals while the only other zone pauses after it refused another call.
+  void WaitsWhileTheOtherZonePauses() {
+    Harness harness;
+    ShowRemote(harness, "z2", 10, 0);
+    const CallHandle first = harness.Arrive().at(0).call_;
+    OnForwardRefused(*harness.dispatcher_, first, "z2", harness.now_, harness.random_);
+    CPPUNIT_ASSERT(harness.Arrive().empty());
+    CPPUNIT_ASSERT(NextTick(*harness.dispatcher_, harness.now_) <= harness.now_ + milliseconds(20));
+    harness.now_ += milliseconds(20);
+    CPPUNIT_ASSERT_EQUAL(1, Count(harness.Tick(), ActionKind::kForward));
+  }
+
   // A zone with a single target: its failures move the calls only if another zone has targets.
   void SingleFailingTargetYieldsToOtherZone() {
     const auto forwards_with = [](bool other_zone) {
