settings, statechart: use toml++ as headers only, without exceptions, everywhere

Debian's library is built with exceptions. In one program with the header-only mode without exceptions, the classes utf8_reader and formatter exist twice with different layouts: AddressSanitizer reported a use after free in a program that held both as headers. ParseToml of the state charts now checks the parse result.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -8,8 +8,7 @@
 add_library(monsoonshelf_library STATIC ${library_objects})
 set_target_properties(monsoonshelf_library PROPERTIES OUTPUT_NAME monsoonshelf LINKER_LANGUAGE CXX)
 target_include_directories(monsoonshelf_library PUBLIC ${CMAKE_SOURCE_DIR}/src)
-target_link_libraries(monsoonshelf_library PUBLIC Boost::headers tomlplusplus::tomlplusplus
-                                                  nlohmann_json::nlohmann_json PkgConfig::XXHASH)
+target_link_libraries(monsoonshelf_library PUBLIC Boost::headers nlohmann_json::nlohmann_json PkgConfig::XXHASH)
 
 configure_file(${CMAKE_SOURCE_DIR}/cmake/monsoonshelf.pc.in
                ${CMAKE_BINARY_DIR}/monsoonshelf.pc @ONLY)
--- a/src/statechart/internal/chart.cc
+++ b/src/statechart/internal/chart.cc
@@ -103,13 +103,12 @@
 }
 
 Result<toml::table> ParseToml(std::string_view text) {
-  try {
-    return toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    return Fail(ResultCode::kChartSyntax, "state chart: line " +
-                                              std::to_string(error.source().begin.line) + ": " +
-                                              std::string(error.description()));
-  }
+  toml::parse_result parsed = toml::parse(text);
+  if (parsed) return std::move(parsed).table();
+  const toml::parse_error& error = parsed.error();
+  return Fail(ResultCode::kChartSyntax, "state chart: line " +
+                                            std::to_string(error.source().begin.line) + ": " +
+                                            std::string(error.description()));
 }
 
 }  // namespace
