base: include toml++ in one place, without its assertion

The mutation tests, built without NDEBUG, ended in an assertion of toml++ 3.3 for the text 's=[""]#\n[?'. With NDEBUG the same text gives a proper error. The input is kept for settings and charts. listen.calls may have port 0, since the run command announces the port that the kernel chose.

--- a/src/settings/internal/key_reader.h
+++ b/src/settings/internal/key_reader.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <toml++/toml.h>
-
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -10,6 +8,7 @@
 #include <vector>
 
 #include "base/result_codes.h"
+#include "base/toml.h"
 
 namespace monsoonshelf::settings {
 
--- a/src/settings/internal/settings.cc
+++ b/src/settings/internal/settings.cc
@@ -14,7 +14,7 @@
 
 constexpr std::string_view kListenRule =
     "an IP address with a port from 1 to 65535, as in 192.0.2.1:8080 or [2001:db8::1]:8080";
-constexpr std::string_view kMetricsRule =
+constexpr std::string_view kAnyPortRule =
     "an IP address with a port from 0 to 65535, as in 192.0.2.1:9100; 0 lets the kernel choose";
 constexpr std::string_view kConnectRule =
     "an IP address, not a name or a wildcard, with a port from 1 to 65535, as in 192.0.2.1:8080";
@@ -28,7 +28,7 @@
   return address && address->port_ != 0;
 }
 
-bool IsMetricsAddress(const std::string& text) { return ParseAddress(text).has_value(); }
+bool IsAnyPortAddress(const std::string& text) { return ParseAddress(text).has_value(); }
 
 bool IsConnectAddress(const std::string& text) {
   const auto address = ParseAddress(text);
@@ -44,9 +44,9 @@
 
 void ReadAddresses(KeyReader& top, Settings& settings, Faults& faults) {
   KeyReader listen(top.Table("listen"), "listen.", faults);
-  listen.Text("calls", settings.listen_calls_, kListenRule, IsListenAddress, true);
+  listen.Text("calls", settings.listen_calls_, kAnyPortRule, IsAnyPortAddress, true);
   listen.Text("peers", settings.listen_peers_, kListenRule, IsListenAddress, true);
-  listen.Text("metrics", settings.listen_metrics_, kMetricsRule, IsMetricsAddress, true);
+  listen.Text("metrics", settings.listen_metrics_, kAnyPortRule, IsAnyPortAddress, true);
   listen.Finish();
   KeyReader advertise(top.Table("advertise"), "advertise.", faults);
   // Without an own value, the listen address is announced; nobody can connect to a wildcard.
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -32,7 +32,7 @@
   std::string region_;
   Incarnation incarnation_ = 0;  // Not in the file: milliseconds since 1970 at the start.
 
-  std::string listen_calls_;
+  std::string listen_calls_;  // Port 0: chosen by the kernel.
   std::string listen_peers_;
   std::string listen_metrics_;  // Port 0: chosen by the kernel.
   // What others connect to; the listen addresses where the file does not say.
--- a/src/statechart/internal/chart.cc
+++ b/src/statechart/internal/chart.cc
@@ -1,11 +1,11 @@
 #include "statechart/chart.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <set>
 #include <utility>
 
+#include "base/toml.h"
+
 namespace monsoonshelf::statechart {
 
 namespace {
