app: report views of control as metrics and zone_state events

ReportView sets configuration, members and shards and logs each change of a zone, which the timeline shows. The run command does not call it yet.

--- /dev/null
+++ b/src/app/internal/view_report.cc
@@ -0,0 +1,78 @@
+#include "app/internal/view_report.h"
+
+#include <algorithm>
+
+#include "logging/logging.h"
+
+namespace monsoonshelf::app {
+
+namespace {
+
+using coordination::MemberState;
+using metrics::MemberGauge;
+
+constexpr std::array<std::pair<MemberState, MemberGauge>, 4> kMemberGauges = {{
+    {MemberState::kAlive, MemberGauge::kAlive},
+    {MemberState::kSuspected, MemberGauge::kSuspected},
+    {MemberState::kLeaving, MemberGauge::kLeaving},
+    {MemberState::kGone, MemberGauge::kGone},
+}};
+
+void ReportMembers(metrics::Metrics& metrics, const control::ControlView& view) {
+  for (const auto& [state, gauge] : kMemberGauges) {
+    const auto count =
+        std::count_if(view.members_.begin(), view.members_.end(),
+                      [state](const auto& member) { return member.state_ == state; });
+    metrics::SetMembers(metrics, gauge, static_cast<int>(count));
+  }
+}
+
+void ReportShards(metrics::Metrics& metrics, const control::ControlView& view,
+                  const std::vector<coordination::ShardLoad>& local) {
+  std::vector<metrics::ShardMetrics> shards;
+  for (const auto& [key, placement] : *view.placements_) {
+    if (!placement.dispatcher_) continue;
+    metrics::ShardMetrics shard;
+    shard.service_ = key.first;
+    shard.zone_ = key.second;
+    shard.dispatcher_ = placement.dispatcher_->name_;
+    const auto load = std::find_if(local.begin(), local.end(), [&shard](const auto& item) {
+      return item.service_ == shard.service_ && item.zone_ == shard.zone_;
+    });
+    if (load != local.end()) {
+      shard.dispatched_here_ = true;
+      shard.queued_ = load->queued_;
+      shard.free_slots_ = load->free_slots_;
+      shard.ready_targets_ = load->ready_targets_;
+    }
+    shards.push_back(std::move(shard));
+  }
+  metrics::SetShards(metrics, shards);
+}
+
+void ReportZones(ViewReport& report, const configuration::Snapshot& snapshot) {
+  for (const auto& [name, zone] : snapshot.zones_) {
+    const auto before = report.zones_.find(name);
+    if (before != report.zones_.end() && before->second == zone.state_) continue;
+    logging::LogEvent(logging::LogLevel::kInfo, "zone_state",
+                      {{"zone", name},
+                       {"state", std::string(NameOf(records::kZoneStateNames, zone.state_))},
+                       {"revision", std::to_string(snapshot.highest_version_)}});
+    report.zones_[name] = zone.state_;
+  }
+}
+
+}  // namespace
+
+void ReportView(ViewReport& report, metrics::Metrics& metrics, const control::ControlView& view,
+                const std::vector<coordination::ShardLoad>& local, Time now) {
+  ReportMembers(metrics, view);
+  ReportShards(metrics, view, local);
+  if (!view.has_configuration_) return;
+  if (view.snapshot_->highest_version_ == report.revision_) return;
+  report.revision_ = view.snapshot_->highest_version_;
+  metrics::SetConfiguration(metrics, report.revision_, now);
+  ReportZones(report, *view.snapshot_);
+}
+
+}  // namespace monsoonshelf::app
