--- a/src/timeline/internal/timeline_html.cc
+++ b/src/timeline/internal/timeline_html.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 #include <ostream>
 #include <set>
@@ -124,7 +125,7 @@
       const std::int64_t offset = span_ * tick / kTicks;
       const double x = X(start_ + offset);
       out_ << "<text x=\"" << x << "\" y=\"" << bottom + 16 << "\" text-anchor=\"middle\">+"
-           << static_cast<double>(offset / 100'000) / 10 << " s</text>\n";
+           << std::floor(static_cast<double>(offset) / 1e5) / 10 << " s</text>\n";
     }
   }
 
