--- a/src/app/internal/view_report.cc
+++ b/src/app/internal/view_report.cc
@@ -22,7 +22,7 @@
   for (const auto& [state, gauge] : kMemberGauges) {
     const auto count =
         std::count_if(view.members_.begin(), view.members_.end(),
-                      [state](const auto& member) { return member.state_ == state; });
+                      [wanted = state](const auto& member) { return member.state_ == wanted; });
     metrics::SetMembers(metrics, gauge, static_cast<int>(count));
   }
 }
