control: measure the cost of an idle entry host with 15 peers

scripts/bench_control.sh runs 16 entry hosts and the platform stand-in as plain processes, checks that each host knows the other 15, and prints processor share, control bytes and resident memory.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 build=$1
 "$build/bench/monsoonshelf_bench"
+"$(dirname "$0")/bench_control.sh" "$build"
