--- a/src/dispatch/internal/dispatcher.cc
+++ b/src/dispatch/internal/dispatcher.cc
@@ -56,9 +56,12 @@
 
 // Refuses a call that is still queued and has no prospect.
 void Judge(Dispatcher& dispatcher, const Call& call, Time now, Actions& actions) {
-  if (!dispatcher.queue_.keys_.contains(call.handle_)) return;
+  const auto key = dispatcher.queue_.keys_.find(call.handle_);
+  if (key == dispatcher.queue_.keys_.end()) return;
+  const WaitingCall& waiting = dispatcher.queue_.waiting_.at(key->second);
   ResultCode code = ResultCode::kNoTarget;
-  if (internal::AnyTargetMayRecover(dispatcher)) {
+  if (internal::AnyTargetMayRecover(dispatcher) ||
+      internal::AnyZoneMayTake(dispatcher, waiting, now)) {
     code = internal::Admit(dispatcher, internal::CurrentCapacity(dispatcher, now), call, now);
   }
   if (code == ResultCode::kOk) return;
@@ -130,6 +133,7 @@
   DispatcherPtr dispatcher(new Dispatcher);
   dispatcher->settings_ = std::move(settings);
   dispatcher->now_ = now;
+  dispatcher->ticked_ = now;
   return dispatcher;
 }
 
@@ -298,14 +302,16 @@
 
 Actions OnTick(Dispatcher& dispatcher, Time now, Random& random) {
   dispatcher.advance_due_ = false;
-  return Settle(dispatcher, Advance(dispatcher, now), random);
+  dispatcher.ticked_ = Advance(dispatcher, now);
+  return Settle(dispatcher, dispatcher.ticked_, random);
 }
 
 Time NextTick(const Dispatcher& dispatcher, Time now) {
   now = std::max(now, dispatcher.now_);
   if (dispatcher.advance_due_) return now;
-  Time next = now + kIdleTick;
-  if (!dispatcher.queue_.waiting_.empty()) next = now + kBusyTick;
+  // Counted from the last tick: a time counted from `now` would move on with each question.
+  Time next = dispatcher.ticked_ + kIdleTick;
+  if (!dispatcher.queue_.waiting_.empty()) next = dispatcher.ticked_ + kBusyTick;
   if (const auto deadline = internal::EarliestDeadline(dispatcher.queue_)) {
     next = std::min(next, *deadline);
   }
@@ -315,14 +321,16 @@
       if (probe) next = std::min(next, std::max(*probe, dispatcher.predecessor_end_));
     }
   }
-  // A due time in the past must not make the owner spin.
-  return std::max(next, now + milliseconds(1));
+  // What a tick left undone must not make the owner spin.
+  return std::max(next, dispatcher.ticked_ + milliseconds(1));
 }
 
 ShardSummary Summarize(const Dispatcher& dispatcher, Time now) {
   now = std::max(now, dispatcher.now_);
   ShardSummary summary;
   summary.queued_ = static_cast<int>(dispatcher.queue_.waiting_.size());
+  summary.queued_interactive_ =
+      internal::CountClass(dispatcher.queue_, records::CallClass::kInteractive);
   for (const TargetState& target : dispatcher.targets_) {
     const int limit = internal::SlotLimit(dispatcher, target, now);
     const int used = internal::UsedSlots(target, now);
