coordination: do not doubt a member that was heard after the ping

Change: a ping counts as missed only if nothing was heard from the member since; a refutation also goes to the sender of the doubt.

--- a/src/coordination/internal/pings.cc
+++ b/src/coordination/internal/pings.cc
@@ -127,6 +127,15 @@
   }
 }
 
+// True if a member did not answer while others were heard. A host that hears nobody is itself cut
+// off and suspects no other; and any message of the member shows that it is there.
+bool IsMissing(const Node& node, const SentPing& ping) {
+  const auto member = node.membership_.members_.find(ping.member_);
+  if (member == node.membership_.members_.end()) return false;
+  const Time heard = std::max(node.membership_.last_peer_heard_, node.platform_.last_heard_);
+  return heard >= ping.sent_ && member->second.heard_ < ping.sent_;
+}
+
 void FollowUpPings(Step& step) {
   auto& membership = step.node_.membership_;
   for (auto item = membership.pings_.begin(); item != membership.pings_.end();) {
@@ -140,9 +149,7 @@
       ++item;
       continue;
     }
-    // A host that hears nobody is itself cut off: it suspects no other.
-    const Time heard = std::max(membership.last_peer_heard_, step.node_.platform_.last_heard_);
-    if (!ping.member_.empty() && heard >= ping.sent_) {
+    if (IsMissing(step.node_, ping)) {
       Suspect(step, ping.member_);
       step.output_.peer_sends_.push_back(
           {ping.address_, Ack{0, {}, UpdatesFor(step, ping.member_), ""}});
@@ -165,6 +172,16 @@
   step.node_.membership_.next_contact_ = std::min(step.node_.membership_.next_contact_, step.now_);
 }
 
+// Takes the updates of a message. A sender that doubts this host gets the refutation directly,
+// since it may be out of reach of the members that changes are pushed to.
+void TakeUpdates(Step& step, const PeerMessage& message, const std::vector<MemberUpdate>& updates) {
+  const auto& self = step.node_.membership_.self_;
+  const auto counter = self.counter_;
+  ApplyUpdates(step, updates);
+  if (self.counter_ == counter) return;
+  step.output_.peer_sends_.push_back({message.sender_address_, Ack{0, {}, {self}, ""}});
+}
+
 }  // namespace
 
 void ContinuePings(Step& step) {
@@ -194,7 +211,7 @@
 
 void OnPing(Step& step, const PeerMessage& message, const Ping& ping) {
   auto& membership = step.node_.membership_;
-  ApplyUpdates(step, ping.updates_);
+  TakeUpdates(step, message, ping.updates_);
   Ack ack{ping.number_, DigestOf(step.node_), UpdatesFor(step, message.sender_), ""};
   const bool introduces_itself =
       std::any_of(ping.updates_.begin(), ping.updates_.end(),
@@ -229,7 +246,7 @@
 
 void OnAck(Step& step, const PeerMessage& message, const Ack& ack) {
   auto& membership = step.node_.membership_;
-  ApplyUpdates(step, ack.updates_);
+  TakeUpdates(step, message, ack.updates_);
   if (ack.number_ == 0) return;
   if (ack.about_.empty()) {
     const auto relayed = membership.relayed_.find(ack.number_);
--- a/tests/scenario/host.h
+++ b/tests/scenario/host.h
@@ -57,6 +57,7 @@
     CallRequest request_;
     CallReply reply_;
     ShardKey shard_;
+    bool may_have_run_ = false;  // An earlier send was lost on the way back.
   };
 
   void Apply(const coordination::NodeOutput& output);
