--- a/tests/scenario/callers.cc
+++ b/tests/scenario/callers.cc
@@ -60,8 +60,11 @@
   request.idempotent_ = simulation_.Uniform() < 0.5;
   request.class_ =
       request.idempotent_ ? records::CallClass::kInteractive : records::CallClass::kTransactional;
-  request.deadline_ = simulation_.Now() + std::chrono::milliseconds(500) +
-                      simulation_.Exponential(std::chrono::milliseconds(500));
+  // Bounded, so that every call has ended when the checkers run.
+  constexpr Duration kMaxExtra = std::chrono::seconds(2);
+  const Duration extra = simulation_.Exponential(std::chrono::milliseconds(500));
+  request.deadline_ =
+      simulation_.Now() + std::chrono::milliseconds(500) + std::min(extra, kMaxExtra);
   const auto hosts = AskForHosts(request.service_, request.zone_);
   if (!hosts.empty()) Attempt(request, hosts, 0, 0);
 }
