--- /dev/null
+++ b/scripts/bench_records.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Measures memory and processor time of one idle entry host against the number of records.
+# Usage: bench_records.sh BUILD_DIR
+# The host has no target in its region, so that it dispatches nothing: 1/72 of the shards is its part.
+# Prints one line for each size; the last has the records of the design scale: 1,100 targets in 68
+# services and 12 zones.
+set -euo pipefail
+build=$1
+product=$build/src/app/monsoonshelf
+standins=$build/tests/standins/monsoonshelf_standins
+base=${BENCH_PORT:-24000} measure_s=${BENCH_RECORDS_S:-8}
+out=$(mktemp -d)
+started=()
+
+# Ends what this script started, by process id.
+cleanup() {
+  for pid in "${started[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  rm -rf "$out"
+}
+trap cleanup EXIT
+
+records() { # TARGETS
+  awk -v targets="$1" 'BEGIN {
+    printf "["
+    for (zone = 1; zone <= 12; ++zone)
+      printf "%s{\"kind\":\"zone\",\"schema\":1,\"name\":\"zone-%d\",\"spec\":{\"region\":\"region-%d\"}}\n", (zone > 1 ? "," : ""), zone, zone % 3
+    services = targets > 0 ? 68 : 0
+    for (service = 0; service < services; ++service) {
+      printf ",{\"kind\":\"service\",\"schema\":1,\"name\":\"service-%d\",\"spec\":{\"default_rule\":\"rule-%d\"}}\n", service, service
+      printf ",{\"kind\":\"rule\",\"schema\":1,\"name\":\"rule-%d\",\"spec\":{\"service\":\"service-%d\",\"idempotent\":true}}\n", service, service
+    }
+    for (target = 0; target < targets; ++target)
+      printf ",{\"kind\":\"target\",\"schema\":1,\"name\":\"target-%d\",\"spec\":{\"service\":\"service-%d\",\"zone\":\"zone-%d\",\"address\":\"127.0.0.1:%d\"}}\n", target, target % 68, 1 + int(target / 68) % 12, 30000 + target
+    printf "]\n"
+  }'
+}
+
+ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+
+index=0
+for targets in 0 550 1100; do
+  index=$((index + 1))
+  platform=$((base + 10 * index))
+  records "$targets" >"$out/records.json"
+  "$standins" platform --port "$platform" --records "$out/records.json" >"$out/platform.log" 2>&1 &
+  started+=($!)
+  cat >"$out/host.toml" <<TOML
+name = "host"
+zone = "elsewhere"
+region = "elsewhere"
+[listen]
+calls = "127.0.0.1:$((platform + 1))"
+peers = "127.0.0.1:$((platform + 2))"
+metrics = "127.0.0.1:$((platform + 3))"
+[platform]
+address = "127.0.0.1:$platform"
+[[peers.keys]]
+id = "bench"
+secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+[log]
+file = "$out/host.log"
+TOML
+  "$product" run "$out/host.toml" >"$out/host.out" 2>&1 &
+  pid=$!
+  started+=("$pid")
+  sleep 4
+  grep -q 'event=configuration_received' "$out/host.log" || { echo "bench=records result=failed"; exit 1; }
+  before=$(ticks "$pid")
+  sleep "$measure_s"
+  awk -v before="$before" -v after="$(ticks "$pid")" -v seconds="$measure_s" -v targets="$targets" \
+    -v clock="$(getconf CLK_TCK)" '/^VmRSS/ {
+      printf "bench=records targets=%d resident_mb=%.1f processor_percent=%.2f\n", targets, $2 / 1024,
+        (after - before) / clock / seconds * 100
+    }' "/proc/$pid/status"
+  kill -TERM "$pid"
+done
