entry: return no retries with failures, carry shard load on answers between zones

Change: Monsoonshelf-Shard-Load on answers to spill hops; OnRetryBudgetReturned; a budget of 0 on failures towards callers; the number of queued interactive calls in shard state. Latency is not measured yet.

--- a/src/entry/entry_types.h
+++ b/src/entry/entry_types.h
@@ -143,6 +143,7 @@
   CallOutcome outcome_ = CallOutcome::kNotRun;
   ResultCode code_ = ResultCode::kInternal;
   std::string reason_;
+  std::string shard_load_;  // As in SendOrder.
 };
 
 }  // namespace monsoonshelf::entry
--- a/src/entry/internal/call_headers.cc
+++ b/src/entry/internal/call_headers.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <map>
+#include <set>
 
 namespace monsoonshelf::entry {
 
@@ -218,18 +220,57 @@
   return headers;
 }
 
+namespace {
+
+// Takes the next `key=value` off a list separated by semicolons; nothing if it is malformed.
+std::optional<std::pair<std::string_view, std::string_view>> TakeField(std::string_view& text) {
+  const std::size_t end = std::min(text.find(';'), text.size());
+  const std::string_view field = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  const std::size_t equals = field.find('=');
+  if (equals == std::string_view::npos) return std::nullopt;
+  std::string_view key = field.substr(0, equals);
+  while (key.starts_with(' ')) key.remove_prefix(1);
+  return std::pair(key, field.substr(equals + 1));
+}
+
+}  // namespace
+
+std::string FormatShardLoad(const dispatch::ShardSummary& summary) {
+  return "free_slots=" + std::to_string(summary.free_slots_) +
+         ";queued=" + std::to_string(summary.queued_) +
+         ";queued_interactive=" + std::to_string(summary.queued_interactive_) +
+         ";ready_targets=" + std::to_string(summary.ready_targets_);
+}
+
+std::optional<dispatch::RemoteShard> ParseShardLoad(std::string_view text) {
+  dispatch::RemoteShard shard;
+  const std::map<std::string_view, int*> members{{"free_slots", &shard.free_slots_},
+                                                 {"queued", &shard.queued_},
+                                                 {"queued_interactive", &shard.queued_interactive_},
+                                                 {"ready_targets", &shard.ready_targets_}};
+  std::set<std::string_view> seen;
+  while (!text.empty()) {
+    const auto field = TakeField(text);
+    if (!field) return std::nullopt;
+    const auto member = members.find(field->first);
+    if (member == members.end()) continue;
+    const auto number = ParseInt(field->second, 0, 1'000'000);
+    if (!number) return std::nullopt;
+    *member->second = *number;
+    seen.insert(member->first);
+  }
+  if (seen.size() != members.size()) return std::nullopt;
+  return shard;
+}
+
 std::optional<dispatch::LoadReport> ParseLoad(std::string_view text) {
   dispatch::LoadReport report;
   int seen = 0;
   while (!text.empty()) {
-    const std::size_t end = std::min(text.find(';'), text.size());
-    const std::string_view field = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    const std::size_t equals = field.find('=');
-    if (equals == std::string_view::npos) return std::nullopt;
-    std::string_view key = field.substr(0, equals);
-    while (key.starts_with(' ')) key.remove_prefix(1);
-    const std::string_view value = field.substr(equals + 1);
+    const auto field = TakeField(text);
+    if (!field) return std::nullopt;
+    const auto& [key, value] = *field;
     if (key == "in_flight" || key == "slots") {
       const auto number = ParseInt(value, 0, 1'000'000);
       if (!number) return std::nullopt;
--- a/src/entry/internal/call_headers.h
+++ b/src/entry/internal/call_headers.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "dispatch/dispatcher.h"
 #include "entry/entry_types.h"
 
 namespace monsoonshelf::entry {
@@ -21,6 +22,9 @@
 // Between entry hosts: the availability zone of the shard that a forwarded call is for.
 inline constexpr char kShardZoneHeader[] = "Monsoonshelf-Shard-Zone";
 
+// On answers to calls that came from the dispatcher of another zone: the load of this shard.
+inline constexpr char kShardLoadHeader[] = "Monsoonshelf-Shard-Load";
+
 // Request as the HTTP server read it.
 struct RawRequest {
   std::string method_;
@@ -42,6 +46,11 @@
 // Parses `in_flight=..;slots=..;state=..;epoch=..`; nothing if it is malformed.
 std::optional<dispatch::LoadReport> ParseLoad(std::string_view text);
 
+// Formats and parses `free_slots=..;queued=..;queued_interactive=..;ready_targets=..`. Zone and
+// delay are not part of it.
+std::string FormatShardLoad(const dispatch::ShardSummary& summary);
+std::optional<dispatch::RemoteShard> ParseShardLoad(std::string_view text);
+
 // Parses hops such as `home,dispatch`; nothing if one is unknown, repeated or out of order.
 std::optional<std::vector<Hop>> ParseHops(std::string_view text);
 std::string FormatHops(const std::vector<Hop>& hops);
--- a/src/entry/internal/caller_responses.cc
+++ b/src/entry/internal/caller_responses.cc
@@ -68,7 +68,9 @@
                               std::to_string(static_cast<int>(head.code_)).c_str());
   if (call.head_ != nullptr) {
     soup_message_headers_append(headers, kCallIdHeader, call.head_->call_id_.c_str());
-    const int budget = head.retry_budget_.value_or(call.head_->retry_budget_);
+    // No level above a failure sends the whole call again. Between entry hosts the call goes on.
+    const bool failed = head.status_ >= 500 && call.head_->hops_.empty();
+    const int budget = failed ? 0 : head.retry_budget_.value_or(call.head_->retry_budget_);
     soup_message_headers_append(headers, kRetryBudgetHeader, std::to_string(budget).c_str());
   }
   if (mode_ == ServingMode::kLeaving || mode_ == ServingMode::kDraining) {
@@ -118,6 +120,9 @@
     if (call->gone_code_ == ResultCode::kBodyTooLarge) response.head_.status_ = 413;
   }
   response.head_.headers_.emplace_back("Content-Type", "text/plain; charset=utf-8");
+  if (!refusal.shard_load_.empty()) {
+    response.head_.headers_.emplace_back(kShardLoadHeader, refusal.shard_load_);
+  }
   response.body_ = refusal.reason_ + "\n";
   response.head_.body_length_ = static_cast<std::int64_t>(response.body_.size());
   Respond(call, std::move(response));
--- a/src/entry/internal/router.cc
+++ b/src/entry/internal/router.cc
@@ -192,6 +192,9 @@
   order.request_.deadline_ = std::min(action.deadline_, head.deadline_);
   order.request_.headers_ =
       OutgoingHeaders(head, order.request_.deadline_, action.retry_budget_, now);
+  if (CameFromOtherZone(head)) {
+    order.shard_load_ = FormatShardLoad(dispatch::Summarize(*shard.dispatcher_, now));
+  }
   SendCall(call, std::move(order));
 }
 
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -36,6 +36,9 @@
   std::size_t CallCount() const { return calls_.size(); }
 
  private:
+  struct RoutedCall;
+  void ObserveShardLoad(const RoutedCall& call, const std::string& load, Time now);
+
   enum class Phase { kQueued, kSending, kWaiting };
   struct RoutedCall {
     CallArrival arrival_;
--- a/src/entry/internal/router_home.cc
+++ b/src/entry/internal/router_home.cc
@@ -155,6 +155,10 @@
   call.maybe_ran_ = earlier || ran;
   call.phase_ = Phase::kQueued;
   bool finished = false;
+  if (report.returned_budget_) {
+    dispatch::OnRetryBudgetReturned(*ShardOf(key, now).dispatcher_, report.call_,
+                                    *report.returned_budget_);
+  }
   const auto actions =
       dispatch::OnSendFinished(*ShardOf(key, now).dispatcher_, report.call_, call.target_,
                                report.result_, report.report_, now, random_, &finished);
@@ -166,6 +170,7 @@
 }
 
 void Router::OnForwardEnd(RoutedCall& call, SendReport& report, Time now) {
+  if (call.purpose_ == SendPurpose::kSpill) ObserveShardLoad(call, report.shard_load_, now);
   const bool refused =
       report.result_ == SendResult::kRefused || report.result_ == SendResult::kUnreachable;
   if (refused && !report.delivered_) {
@@ -242,6 +247,10 @@
     refusal.status_ = 504;
   }
   if (call.at_home_) FinishAtHome(call, FinishedOf(refusal));
+  const auto shard = shards_.find(call.shard_);
+  if (CameFromOtherZone(*call.arrival_.head_) && shard != shards_.end()) {
+    refusal.shard_load_ = FormatShardLoad(dispatch::Summarize(*shard->second.dispatcher_, now));
+  }
   const CallHandle handle = call.arrival_.handle_;
   port_.Refuse(handle, std::move(refusal));
   Erase(handle, now);
--- a/src/entry/internal/router_shards.cc
+++ b/src/entry/internal/router_shards.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/internal/call_headers.h"
 #include "entry/internal/router.h"
 
 namespace monsoonshelf::entry {
@@ -12,7 +13,10 @@
 constexpr Duration kZoneDelay = std::chrono::milliseconds(4);
 
 dispatch::RemoteShard RemoteOf(const coordination::ShardLoad& load) {
-  return {load.zone_, load.free_slots_, load.queued_, load.ready_targets_, kZoneDelay};
+  dispatch::RemoteShard remote{load.zone_, load.free_slots_, load.queued_, load.ready_targets_,
+                               kZoneDelay};
+  remote.queued_interactive_ = load.queued_interactive_;
+  return remote;
 }
 
 bool SameTargets(const std::vector<dispatch::TargetSpec>& a,
@@ -155,6 +159,7 @@
     const auto summary = dispatch::Summarize(*shard.dispatcher_, now);
     coordination::ShardLoad load{
         key.first, key.second, summary.free_slots_, summary.queued_, summary.ready_targets_, {}};
+    load.queued_interactive_ = summary.queued_interactive_;
     for (const auto& target : summary.targets_) {
       load.targets_.push_back({target.name_, target.phase_, target.epoch_});
     }
@@ -163,6 +168,14 @@
   return loads;
 }
 
+void Router::ObserveShardLoad(const RoutedCall& call, const std::string& load, Time now) {
+  auto remote = ParseShardLoad(load);
+  if (!remote) return;
+  remote->zone_ = call.spill_zone_;
+  remote->one_way_delay_ = kZoneDelay;
+  dispatch::OnRemoteShard(*ShardOf(call.shard_, now).dispatcher_, *remote, now);
+}
+
 void Router::ExchangeLocalShards(Time now) {
   for (const auto& load : LocalShards(now)) {
     for (auto& [key, shard] : shards_) {
--- a/src/entry/internal/router_types.h
+++ b/src/entry/internal/router_types.h
@@ -25,6 +25,11 @@
   RequestBody body_;
 };
 
+// True for a call that the dispatcher of another zone forwarded to this host.
+inline bool CameFromOtherZone(const CallHead& head) {
+  return !head.hops_.empty() && head.hops_.back() == Hop::kSpill;
+}
+
 enum class SendPurpose { kTarget, kHome, kDispatch, kSpill };
 
 // One send of a call, to a target or to another entry host.
@@ -32,7 +37,8 @@
   CallHandle call_ = 0;
   SendPurpose purpose_ = SendPurpose::kTarget;
   int retry_budget_ = 0;
-  bool keep_ = false;  // The result is needed for the outcome table.
+  bool keep_ = false;       // The result is needed for the outcome table.
+  std::string shard_load_;  // Not empty: goes with the answer to the dispatcher of another zone.
   TargetRequest request_;
 };
 
@@ -47,6 +53,8 @@
   bool delivered_ = false;
   WholeResponse response_;  // When not delivered and a whole response arrived.
   std::optional<outcomes::FinishedCall> kept_;
+  std::optional<int> returned_budget_;  // Retries left, as the answer says.
+  std::string shard_load_;              // Load of the shard in another zone that answered.
 };
 
 // What the router tells the data tasks to do.
--- a/src/entry/internal/send_relay.cc
+++ b/src/entry/internal/send_relay.cc
@@ -1,5 +1,6 @@
 #include "entry/internal/send_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/internal/call_headers.h"
@@ -10,6 +11,15 @@
 
 namespace {
 
+std::string TakeHeader(Headers& headers, std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [&](const auto& header) { return header.first == name; });
+  if (found == headers.end()) return "";
+  std::string value = std::move(found->second);
+  headers.erase(found);
+  return value;
+}
+
 std::size_t KeptBytes() { return outcomes::OutcomeTableLimits().max_body_bytes_; }
 
 }  // namespace
@@ -28,6 +38,13 @@
 
 void SendRelay::OnHead(SendId id, ResponseHead head) {
   Relay& relay = relays_.at(id);
+  relay.returned_budget_ = head.retry_budget_;
+  if (relay.order_.purpose_ == SendPurpose::kSpill) {
+    relay.shard_load_ = TakeHeader(head.headers_, kShardLoadHeader);
+  }
+  if (!relay.order_.shard_load_.empty()) {
+    head.headers_.emplace_back(kShardLoadHeader, relay.order_.shard_load_);
+  }
   if (!head.retry_budget_ || *head.retry_budget_ > relay.order_.retry_budget_) {
     head.retry_budget_ = relay.order_.retry_budget_;
   }
@@ -86,6 +103,8 @@
   report.result_ = end.result_;
   report.report_ = end.report_;
   report.sent_ = end.sent_;
+  report.returned_budget_ = relay.returned_budget_;
+  report.shard_load_ = std::move(relay.shard_load_);
   const bool whole = end.result_ == SendResult::kAnswered || end.result_ == SendResult::kFailed ||
                      end.result_ == SendResult::kRefused;
   if (whole && relay.order_.keep_) {
--- a/src/entry/internal/send_relay.h
+++ b/src/entry/internal/send_relay.h
@@ -43,6 +43,8 @@
     std::string body_;
     std::string kept_;
     bool keeps_body_ = true;
+    std::optional<int> returned_budget_;
+    std::string shard_load_;
     bool streaming_ = false;
   };
 
--- /dev/null
+++ b/src/entry/tests/hop_headers_test.cc
@@ -0,0 +1,74 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "entry/internal/call_headers.h"
+#include "entry/tests/entry_fixture.h"
+
+namespace monsoonshelf::entry {
+
+// Headers that entry hosts add to answers for each other and for callers.
+class HopHeadersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HopHeadersTest);
+  CPPUNIT_TEST(ShardLoadIsParsedAsFormatted);
+  CPPUNIT_TEST(MalformedShardLoadIsIgnored);
+  CPPUNIT_TEST(AnswerToAnotherZoneCarriesShardLoad);
+  CPPUNIT_TEST(FailureReturnsNoRetries);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ShardLoadIsParsedAsFormatted() {
+    dispatch::ShardSummary summary;
+    summary.free_slots_ = 3;
+    summary.queued_ = 7;
+    summary.queued_interactive_ = 5;
+    summary.ready_targets_ = 2;
+    const auto parsed = ParseShardLoad(FormatShardLoad(summary));
+    CPPUNIT_ASSERT(parsed.has_value());
+    CPPUNIT_ASSERT_EQUAL(3, parsed->free_slots_);
+    CPPUNIT_ASSERT_EQUAL(7, parsed->queued_);
+    CPPUNIT_ASSERT_EQUAL(5, parsed->queued_interactive_);
+    CPPUNIT_ASSERT_EQUAL(2, parsed->ready_targets_);
+  }
+
+  // Guards against a zone that looks idle because part of its load could not be read.
+  void MalformedShardLoadIsIgnored() {
+    for (const char* text : {"", "free_slots=1", "free_slots=x;queued=1", "queued",
+                             "free_slots=-1;queued=0;queued_interactive=0;ready_targets=1"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseShardLoad(text).has_value());
+    }
+  }
+
+  // Guards against spill-over by state that is older than the last answer.
+  void AnswerToAnotherZoneCarriesShardLoad() {
+    FakeTarget target(EchoHandler);
+    EntryFixture entry;
+    CPPUNIT_ASSERT(entry.Started());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    const std::string hop = "Monsoonshelf-Forwarded: spill\r\nMonsoonshelf-Shard-Zone: z1\r\n";
+    const auto forwarded = entry.Call("GET", "/s/svc/page", hop);
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"), forwarded.Outcome());
+    CPPUNIT_ASSERT(ParseShardLoad(forwarded.Header("Monsoonshelf-Shard-Load")).has_value());
+    CPPUNIT_ASSERT(entry.Call("GET", "/s/svc/page").Header("Monsoonshelf-Shard-Load").empty());
+  }
+
+  // Guards against retries that multiply with the depth of a call tree.
+  void FailureReturnsNoRetries() {
+    FakeTarget target([](Connection& connection) {
+      const std::string head = connection.ReadHead();
+      if (!head.empty()) connection.Write(Response(head, "failed", "500 Failed"));
+    });
+    EntryFixture entry;
+    CPPUNIT_ASSERT(entry.Started());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    const auto failed = entry.Call("GET", "/s/svc/page", "Monsoonshelf-Retry-Budget: 3\r\n");
+    CPPUNIT_ASSERT_EQUAL(500, failed.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), failed.Header("Monsoonshelf-Retry-Budget"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HopHeadersTest);
+
+}  // namespace monsoonshelf::entry
