app: report members, shards, configuration and zones as metrics and events

Cause: these metrics were declared and stayed empty. Change: views and shard loads are reported on the main thread, once a second and with each view.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -5,11 +5,13 @@
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <memory>
 
 #include "app/internal/command.h"
 #include "app/internal/entry_feed.h"
+#include "app/internal/view_report.h"
 #include "base/clock.h"
 #include "control/control_setup.h"
 #include "entry/entry_host.h"
@@ -34,8 +36,30 @@
   GMainLoop* loop_ = nullptr;
   bool stopping_ = false;
   entry::StopResult stop_result_;
+  // For metrics and zone events; used on the main thread only.
+  ViewReport report_;
+  control::ControlViewPtr view_;
+  std::vector<coordination::ShardLoad> local_shards_;
 };
 
+// Runs a message on the main thread. The modules call back on threads of their own.
+void PostToMain(std::function<void()> message) {
+  // Not g_main_context_invoke: that runs on the calling thread while the main loop is not running.
+  g_idle_add_full(
+      G_PRIORITY_DEFAULT,
+      [](gpointer data) -> gboolean {
+        (*static_cast<std::function<void()>*>(data))();
+        return G_SOURCE_REMOVE;
+      },
+      new std::function<void()>(std::move(message)),
+      [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+}
+
+void ReportNow(RunningHost& host) {
+  if (host.view_ == nullptr) return;
+  ReportView(host.report_, *host.metrics_, *host.view_, host.local_shards_, Now());
+}
+
 Result<std::string> SettingsFile(const Arguments& arguments) {
   namespace options = boost::program_options;
   std::string file;
@@ -147,6 +171,7 @@
   callbacks.event_ = LogModuleEvent;
   callbacks.local_shards_ = [&host](const std::vector<coordination::ShardLoad>& shards) {
     if (auto* control = host.control_for_entry_.load()) control->SetLocalShards(shards);
+    PostToMain([&host, shards] { host.local_shards_ = shards; });
   };
   return callbacks;
 }
@@ -155,6 +180,10 @@
   control::ControlCallbacks callbacks;
   callbacks.view_ = [&host](const control::ControlViewPtr& view) {
     host.entry_->SetView(MakeEntryView(*view));
+    PostToMain([&host, view] {
+      host.view_ = view;
+      ReportNow(host);
+    });
   };
   callbacks.remote_shards_ = [&host](const std::vector<coordination::ShardLoad>& shards) {
     host.entry_->SetRemoteShards(shards);
@@ -222,6 +251,14 @@
   BOOST_LEAF_CHECK(StartModules(host, file));
   g_unix_signal_add(SIGTERM, OnSignal, &host);
   g_unix_signal_add(SIGINT, OnSignal, &host);
+  // Queues and free slots change without a new view.
+  g_timeout_add_seconds(
+      1,
+      [](gpointer data) -> gboolean {
+        ReportNow(*static_cast<RunningHost*>(data));
+        return G_SOURCE_CONTINUE;
+      },
+      &host);
   g_main_loop_run(host.loop_);
   logging::LogEvent(host.stop_result_.forced_ ? LogLevel::kError : LogLevel::kInfo, "stopped",
                     {{"forced", host.stop_result_.forced_ ? "1" : "0"},
