--- a/scripts/bench_body.sh
+++ b/scripts/bench_body.sh
@@ -7,20 +7,8 @@
 standins=$build/tests/standins/monsoonshelf_standins
 base=${BENCH_PORT:-25000}
 bytes=100000000
-out=$(mktemp -d)
-started=()
+source "$(dirname "$0")/processes.sh"
 
-# Ends what this script started, by process id.
-cleanup() {
-  for pid in "${started[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
-  rm -rf "$out"
-}
-trap cleanup EXIT
-
-resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
 call() { # NAME PATH
   "$standins" caller --entry "127.0.0.1:$((base + 1))" --zone a --rate 1 --seconds 1.5 --deadline-ms 30000 \
     --call "summit-pages,GET,$2,1" >"$out/$1.log"
@@ -28,30 +16,12 @@
 }
 
 scripts/demo_records.sh "$((base + 100))" | sed 's/"deadline_ms":10000/"deadline_ms":60000/' >"$out/records.json"
-"$standins" platform --port "$base" --records "$out/records.json" >"$out/platform.log" 2>&1 &
-started+=($!)
-"$standins" target --service-ms 0 --cold-answers 0 \
-  --target "summit-pages-a1,a,$((base + 100))" "summit-pages-a2,a,$((base + 101))" >"$out/target.log" 2>&1 &
-started+=($!)
-cat >"$out/host.toml" <<TOML
-name = "host"
-zone = "a"
-region = "adriatic"
-[listen]
-calls = "127.0.0.1:$((base + 1))"
-peers = "127.0.0.1:$((base + 2))"
-metrics = "127.0.0.1:$((base + 3))"
-[platform]
-address = "127.0.0.1:$base"
-[[peers.keys]]
-id = "bench"
-secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
-[log]
-file = "$out/host.log"
-TOML
-"$product" run "$out/host.toml" >"$out/host.out" 2>&1 &
-host=$!
-started+=("$host")
+start platform.log "$standins" platform --port "$base" --records "$out/records.json"
+start target.log "$standins" target --service-ms 0 --cold-answers 0 \
+  --target "summit-pages-a1,a,$((base + 100))" "summit-pages-a2,a,$((base + 101))"
+host_settings host a adriatic "$base" $((base + 1)) $((base + 2)) $((base + 3)) >"$out/host.toml"
+start host.out "$product" run "$out/host.toml"
+host=$last_pid
 sleep 3
 call small /pack/1000000 >/dev/null
 before=$(resident_kb "$host")
--- a/scripts/bench_control.sh
+++ b/scripts/bench_control.sh
@@ -9,46 +9,14 @@
 hosts=16
 warm_up_s=${BENCH_WARM_UP_S:-10} measure_s=${BENCH_CONTROL_S:-20}
 base=${BENCH_PORT:-23000}
-out=$(mktemp -d)
-started=()
-
-# Ends what this script started, by process id.
-cleanup() {
-  for pid in "${started[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
-  rm -rf "$out"
-}
-trap cleanup EXIT
+source "$(dirname "$0")/processes.sh"
 
 settings() { # INDEX ZONE
-  cat <<TOML
-name = "host-$1"
-zone = "$2"
-region = "adriatic"
-keep_seconds = 2
-stop_seconds = 20
-data_tasks = 2
-[listen]
-calls = "127.0.0.1:$((base + 100 + $1))"
-peers = "127.0.0.1:$((base + 200 + $1))"
-metrics = "127.0.0.1:$((base + 300 + $1))"
-[platform]
-address = "127.0.0.1:$base"
-[peers]
-seeds = ["127.0.0.1:$((base + 200 + $1 % hosts + 1))"]
-[[peers.keys]]
-id = "bench"
-secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
-[log]
-file = "$out/host-$1.log"
-TOML
+  host_settings "host-$1" "$2" adriatic "$base" $((base + 100 + $1)) $((base + 200 + $1)) $((base + 300 + $1))
+  # The next host is the seed.
+  printf '[peers]\nseeds = ["127.0.0.1:%d"]\n' $((base + 200 + $1 % hosts + 1))
 }
 
-# Processor time of a process in clock ticks. The name of the process has no space.
-ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
-resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
 # Sum of the metrics of a host whose names match a pattern.
 metric() {
   curl -fsS --max-time 3 "http://127.0.0.1:$((base + 300 + $1))/metrics" |
@@ -56,15 +24,13 @@
 }
 
 scripts/demo_records.sh $((base + 400)) >"$out/records.json"
-"$standins" platform --port "$base" --records "$out/records.json" >"$out/platform.log" 2>&1 &
-started+=($!)
+start platform.log "$standins" platform --port "$base" --records "$out/records.json"
 pids=()
 zones=(a b c)
 for index in $(seq $hosts); do
   settings "$index" "${zones[index % 3]}" >"$out/host-$index.toml"
-  "$product" run "$out/host-$index.toml" >"$out/host-$index.out" 2>&1 &
-  pids+=($!)
-  started+=($!)
+  start "host-$index.out" "$product" run "$out/host-$index.toml"
+  pids+=("$last_pid")
 done
 sleep "$warm_up_s"
 
--- a/scripts/bench_records.sh
+++ b/scripts/bench_records.sh
@@ -9,18 +9,7 @@
 product=$build/src/app/monsoonshelf
 standins=$build/tests/standins/monsoonshelf_standins
 base=${BENCH_PORT:-24000} measure_s=${BENCH_RECORDS_S:-8}
-out=$(mktemp -d)
-started=()
-
-# Ends what this script started, by process id.
-cleanup() {
-  for pid in "${started[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
-  rm -rf "$out"
-}
-trap cleanup EXIT
+source "$(dirname "$0")/processes.sh"
 
 records() { # TARGETS
   awk -v targets="$1" 'BEGIN {
@@ -38,34 +27,16 @@
   }'
 }
 
-ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
-
 index=0
 for targets in 0 550 1100; do
   index=$((index + 1))
   platform=$((base + 10 * index))
   records "$targets" >"$out/records.json"
-  "$standins" platform --port "$platform" --records "$out/records.json" >"$out/platform.log" 2>&1 &
-  started+=($!)
-  cat >"$out/host.toml" <<TOML
-name = "host"
-zone = "elsewhere"
-region = "elsewhere"
-[listen]
-calls = "127.0.0.1:$((platform + 1))"
-peers = "127.0.0.1:$((platform + 2))"
-metrics = "127.0.0.1:$((platform + 3))"
-[platform]
-address = "127.0.0.1:$platform"
-[[peers.keys]]
-id = "bench"
-secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
-[log]
-file = "$out/host.log"
-TOML
-  "$product" run "$out/host.toml" >"$out/host.out" 2>&1 &
-  pid=$!
-  started+=("$pid")
+  start platform.log "$standins" platform --port "$platform" --records "$out/records.json"
+  host_settings host elsewhere elsewhere "$platform" $((platform + 1)) $((platform + 2)) $((platform + 3)) \
+    >"$out/host.toml"
+  start host.out "$product" run "$out/host.toml"
+  pid=$last_pid
   sleep 4
   grep -q 'event=configuration_received' "$out/host.log" || { echo "bench=records result=failed"; exit 1; }
   before=$(ticks "$pid")
--- a/tests/standins/caller.cc
+++ b/tests/standins/caller.cc
@@ -10,6 +10,7 @@
 #include "base/base_types.h"
 #include "base/key_value.h"
 #include "tests/standins/http_util.h"
+#include "tests/standins/options.h"
 #include "tests/standins/pattern.h"
 #include "tests/standins/subcommands.h"
 
@@ -391,14 +392,7 @@
   add("deadline-ms", po::value(&options.deadline_ms_), "deadline of each call");
   add("outcomes", po::value(&options.outcomes_file_), "file for the outcomes of POST calls");
   add("seed", po::value(&options.seed_), "seed of identifiers and call order");
-  try {
-    po::variables_map values;
-    po::store(po::command_line_parser(args).options(description).run(), values);
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    return 2;
-  }
+  if (!ParseOptions(args, description)) return 2;
   if (!ParseKinds()) return 2;
   if (!options.outcomes_file_.empty()) Process().outcomes_.open(options.outcomes_file_);
   Process().random_.seed(options.seed_);
--- a/tests/standins/check.cc
+++ b/tests/standins/check.cc
@@ -7,6 +7,7 @@
 
 #include "base/key_value.h"
 #include "tests/standins/http_util.h"
+#include "tests/standins/options.h"
 #include "tests/standins/subcommands.h"
 
 namespace monsoonshelf::standins {
@@ -78,14 +79,7 @@
   add("outcomes", po::value(&files)->multitoken()->required(), "files written by callers");
   add("targets", po::value(&targets)->multitoken()->required(),
       "address of one target of each target process");
-  try {
-    po::variables_map values;
-    po::store(po::command_line_parser(args).options(description).run(), values);
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    return 2;
-  }
+  if (!ParseOptions(args, description)) return 2;
   std::map<std::string, std::string> outcomes;
   std::map<std::string, int> ledger;
   Verdict verdict;
--- /dev/null
+++ b/tests/standins/options.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace monsoonshelf::standins {
+
+// Parses the arguments of a subcommand into the variables of `description`. On an error it prints
+// the reason and the options and returns false.
+inline bool ParseOptions(const std::vector<std::string>& args,
+                         const boost::program_options::options_description& description) {
+  namespace po = boost::program_options;
+  try {
+    po::variables_map values;
+    po::store(po::command_line_parser(args).options(description).run(), values);
+    po::notify(values);
+    return true;
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n" << description;
+    return false;
+  }
+}
+
+}  // namespace monsoonshelf::standins
--- a/tests/standins/target.cc
+++ b/tests/standins/target.cc
@@ -9,6 +9,7 @@
 #include <random>
 
 #include "tests/standins/http_util.h"
+#include "tests/standins/options.h"
 #include "tests/standins/pattern.h"
 #include "tests/standins/subcommands.h"
 
@@ -332,14 +333,7 @@
   add("probes", po::value(&options.probes_per_second_), "probe budget per second");
   add("service-ms", po::value(&options.service_ms_), "mean service time; 0 responds at once");
   add("seed", po::value(&options.seed_), "seed of the service times");
-  try {
-    po::variables_map values;
-    po::store(po::command_line_parser(args).options(description).run(), values);
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    return 2;
-  }
+  if (!ParseOptions(args, description)) return 2;
   for (const auto& target : targets) {
     if (!AddTarget(target, options)) return 1;
   }
