entry: read the shard load on answers of other zones

Cause: the client dropped all Monsoonshelf headers of an answer, the shard load among them, so that it never reached the dispatcher. Change: the header travels in the response head; a test forwards to a zone whose answer says that it has no ready target.

--- a/src/entry/entry_types.h
+++ b/src/entry/entry_types.h
@@ -128,6 +128,7 @@
   CallOutcome outcome_ = CallOutcome::kUnknown;
   ResultCode code_ = ResultCode::kOk;
   std::optional<int> retry_budget_;
+  std::string shard_load_;  // Of the shard in another zone that answered, as it was sent.
   Duration target_time_{};  // From the start of the send to the end of the response.
 };
 
--- a/src/entry/internal/send_relay.cc
+++ b/src/entry/internal/send_relay.cc
@@ -1,6 +1,5 @@
 #include "entry/internal/send_relay.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "entry/internal/call_headers.h"
@@ -11,15 +10,6 @@
 
 namespace {
 
-std::string TakeHeader(Headers& headers, std::string_view name) {
-  const auto found = std::find_if(headers.begin(), headers.end(),
-                                  [&](const auto& header) { return header.first == name; });
-  if (found == headers.end()) return "";
-  std::string value = std::move(found->second);
-  headers.erase(found);
-  return value;
-}
-
 std::size_t KeptBytes() { return outcomes::OutcomeTableLimits().max_body_bytes_; }
 
 }  // namespace
@@ -40,7 +30,7 @@
   Relay& relay = relays_.at(id);
   relay.returned_budget_ = head.retry_budget_;
   if (relay.order_.purpose_ == SendPurpose::kSpill) {
-    relay.shard_load_ = TakeHeader(head.headers_, kShardLoadHeader);
+    relay.shard_load_ = head.shard_load_;
   }
   if (!relay.order_.shard_load_.empty()) {
     head.headers_.emplace_back(kShardLoadHeader, relay.order_.shard_load_);
--- a/src/entry/internal/soup_target_client.cc
+++ b/src/entry/internal/soup_target_client.cc
@@ -223,6 +223,7 @@
   if (const char* code = GetHeader(message, kResultCodeHeader)) {
     head.code_ = static_cast<ResultCode>(std::atoi(code));
   }
+  if (const char* load = GetHeader(message, kShardLoadHeader)) head.shard_load_ = load;
   if (const char* budget = GetHeader(message, kRetryBudgetHeader)) {
     head.retry_budget_ = std::atoi(budget);
   }
--- a/src/entry/tests/hop_headers_test.cc
+++ b/src/entry/tests/hop_headers_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ShardLoadIsParsedAsFormatted);
   CPPUNIT_TEST(MalformedShardLoadIsIgnored);
   CPPUNIT_TEST(AnswerToAnotherZoneCarriesShardLoad);
+  CPPUNIT_TEST(LoadOnAnswerOfAnotherZoneIsUsed);
   CPPUNIT_TEST(FailureReturnsNoRetries);
   CPPUNIT_TEST_SUITE_END();
 
@@ -53,6 +54,31 @@
     CPPUNIT_ASSERT(entry.Call("GET", "/s/svc/page").Header("Monsoonshelf-Shard-Load").empty());
   }
 
+  // Guards against forwards to a zone whose last answer says that it has no ready target.
+  void LoadOnAnswerOfAnotherZoneIsUsed() {
+    FakeTarget other_host([](Connection& connection) {
+      for (std::string head = connection.ReadHead(); !head.empty(); head = connection.ReadHead()) {
+        connection.Write(
+            Response(head, "from z2", "200 OK",
+                     "Monsoonshelf-Outcome: answered\r\nMonsoonshelf-Shard-Load: "
+                     "free_slots=0;queued=0;queued_interactive=0;ready_targets=0\r\n"));
+      }
+    });
+    EntryFixture entry;
+    CPPUNIT_ASSERT(entry.Started());
+    auto& placement = entry.view_.placements_[{"svc", "z2"}];
+    placement.dispatcher_ = entry.Member("h2", other_host.Address());
+    entry.Publish();
+    entry.Host().SetRemoteShards({{"svc", "z2", 2, 0, 1, {}}});
+    CPPUNIT_ASSERT_EQUAL(std::string("from z2"), entry.Call("GET", "/s/svc/page").body_);
+    // The load follows the answer to the dispatch task; a call that overtakes it is forwarded.
+    std::string code = "0";
+    for (int call = 0; call < 100 && code == "0"; ++call) {
+      code = entry.Call("GET", "/s/svc/page").Code();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("450"), code);
+  }
+
   // Guards against retries that multiply with the depth of a call tree.
   void FailureReturnsNoRetries() {
     FakeTarget target([](Connection& connection) {
