entry: sign forwarded calls

Cause: a caller that set Monsoonshelf-Forwarded: dispatch passed over the home host, so that a call that is not idempotent could run twice (invariant 6). Change: entry hosts sign hops, zone and call identifier with the peer keys; calls without a valid signature are refused as not_run.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -120,6 +120,7 @@
   entry.incarnation_ = settings.incarnation_;
   entry.zone_ = settings.zone_;
   entry.listen_address_ = settings.listen_calls_;
+  for (const auto& key : settings.peer_keys_) entry.hop_secrets_.push_back(key.secret_hex_);
   entry.data_tasks_ = settings.data_tasks_;
   entry.max_header_bytes_ = static_cast<std::size_t>(settings.limits_.header_bytes_);
   entry.max_buffered_bytes_ = static_cast<std::size_t>(settings.limits_.total_body_bytes_);
--- a/src/entry/entry_types.h
+++ b/src/entry/entry_types.h
@@ -35,6 +35,9 @@
   Incarnation incarnation_ = 0;
   std::string zone_;
   std::string listen_address_ = "127.0.0.1:0";  // IP address and port; port 0 is chosen by the OS.
+  // Shared secrets of the entry hosts: the first signs forwarded calls, all verify. Without one,
+  // forwarded calls are not verified.
+  std::vector<std::string> hop_secrets_;
   int data_tasks_ = 2;
   std::size_t max_header_bytes_ = std::size_t{16} * 1024;
   std::size_t max_buffered_bytes_ = std::size_t{32} << 20;  // Bodies of all calls.
--- a/src/entry/internal/call_headers.cc
+++ b/src/entry/internal/call_headers.cc
@@ -1,5 +1,6 @@
 #include "entry/internal/call_headers.h"
 
+#include <glib.h>
 #include <strings.h>
 
 #include <algorithm>
@@ -107,6 +108,17 @@
   return std::nullopt;
 }
 
+bool IsSignedHop(const RawRequest& request, const EntrySettings& settings, const CallHead& head) {
+  if (head.hops_.empty() || settings.hop_secrets_.empty()) return true;
+  const auto* signature = FindHeader(request.headers_, kHopSignatureHeader);
+  const auto* zone = FindHeader(request.headers_, kShardZoneHeader);
+  if (signature == nullptr || zone == nullptr) return false;
+  return std::any_of(
+      settings.hop_secrets_.begin(), settings.hop_secrets_.end(), [&](const std::string& secret) {
+        return *signature == SignHop(secret, FormatHops(head.hops_), *zone, head.call_id_);
+      });
+}
+
 std::optional<Refusal> ReadIdentity(const RawRequest& request, CallHead& head) {
   if (const auto* text = FindHeader(request.headers_, kForwardedHeader)) {
     const auto hops = ParseHops(*text);
@@ -195,6 +207,10 @@
   CopyRule(rule, head);
   if (auto refusal = ReadNumbers(request, rule, now, head)) return *refusal;
   if (auto refusal = ReadIdentity(request, head)) return *refusal;
+  if (!IsSignedHop(request, settings, head)) {
+    return Invalid(403, ResultCode::kPeerMessageUnsigned,
+                   std::string(kForwardedHeader) + " has no valid signature of an entry host");
+  }
   head.body_length_ = request.body_length_;
   if (head.body_length_ > head.max_request_body_) {
     return Invalid(
@@ -292,6 +308,17 @@
   return report;
 }
 
+std::string SignHop(const std::string& secret, const std::string& hops, const std::string& zone,
+                    const std::string& call_id) {
+  const std::string text = "hop\n" + hops + "\n" + zone + "\n" + call_id;
+  gchar* digest =
+      g_compute_hmac_for_string(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(secret.data()),
+                                secret.size(), text.data(), static_cast<gssize>(text.size()));
+  std::string signature(digest);
+  g_free(digest);
+  return signature;
+}
+
 std::optional<std::vector<Hop>> ParseHops(std::string_view text) {
   std::vector<Hop> hops;
   while (!text.empty()) {
--- a/src/entry/internal/call_headers.h
+++ b/src/entry/internal/call_headers.h
@@ -22,6 +22,9 @@
 // Between entry hosts: the availability zone of the shard that a forwarded call is for.
 inline constexpr char kShardZoneHeader[] = "Monsoonshelf-Shard-Zone";
 
+// Between entry hosts: proves that an entry host forwarded the call, so that a caller cannot pass
+// over the rules of the home host.
+inline constexpr char kHopSignatureHeader[] = "Monsoonshelf-Forwarded-Signature";
 // On answers to calls that came from the dispatcher of another zone: the load of this shard.
 inline constexpr char kShardLoadHeader[] = "Monsoonshelf-Shard-Load";
 
@@ -51,6 +54,10 @@
 std::string FormatShardLoad(const dispatch::ShardSummary& summary);
 std::optional<dispatch::RemoteShard> ParseShardLoad(std::string_view text);
 
+// Returns the HMAC-SHA-256, in hexadecimal digits, of a hop.
+std::string SignHop(const std::string& secret, const std::string& hops, const std::string& zone,
+                    const std::string& call_id);
+
 // Parses hops such as `home,dispatch`; nothing if one is unknown, repeated or out of order.
 std::optional<std::vector<Hop>> ParseHops(std::string_view text);
 std::string FormatHops(const std::vector<Hop>& hops);
--- a/src/entry/internal/router.cc
+++ b/src/entry/internal/router.cc
@@ -118,6 +118,11 @@
                                                      : Hop::kSpill);
   order.request_.headers_.emplace_back(kForwardedHeader, FormatHops(hops));
   order.request_.headers_.emplace_back(kShardZoneHeader, zone);
+  if (!settings_.hop_secrets_.empty()) {
+    order.request_.headers_.emplace_back(
+        kHopSignatureHeader,
+        SignHop(settings_.hop_secrets_.front(), FormatHops(hops), zone, head.call_id_));
+  }
   SendCall(call, std::move(order));
   return true;
 }
--- a/src/entry/tests/hop_headers_test.cc
+++ b/src/entry/tests/hop_headers_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(MalformedShardLoadIsIgnored);
   CPPUNIT_TEST(AnswerToAnotherZoneCarriesShardLoad);
   CPPUNIT_TEST(LoadOnAnswerOfAnotherZoneIsUsed);
+  CPPUNIT_TEST(UnsignedHopIsRefused);
   CPPUNIT_TEST(FailureReturnsNoRetries);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +80,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("450"), code);
   }
 
+  // Guards against a caller that passes over the rules of the home host, so that its call runs
+  // twice.
+  void UnsignedHopIsRefused() {
+    FakeTarget target(EchoHandler);
+    EntrySettings settings;
+    settings.hop_secrets_ = {"new secret", "old secret"};
+    EntryFixture entry(settings);
+    CPPUNIT_ASSERT(entry.Started());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    const std::string id = entry.NewId();
+    const std::string hop =
+        "Monsoonshelf-Forwarded: dispatch\r\nMonsoonshelf-Shard-Zone: z1\r\n"
+        "Monsoonshelf-Call-Id: " +
+        id + "\r\n";
+    const auto call_with = [&](const std::string& signature) {
+      return entry.Call("POST", "/s/svc/work",
+                        hop + "Monsoonshelf-Forwarded-Signature: " + signature + "\r\n", "x");
+    };
+    CPPUNIT_ASSERT_EQUAL(403, entry.Call("POST", "/s/svc/work", hop, "x").Status());
+    const auto wrong = call_with(SignHop("other secret", "dispatch", "z1", id));
+    CPPUNIT_ASSERT_EQUAL(403, wrong.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), wrong.Outcome());
+    CPPUNIT_ASSERT_EQUAL(403, call_with(SignHop("new secret", "home", "z1", id)).Status());
+    CPPUNIT_ASSERT_EQUAL(0, target.Connections());
+    CPPUNIT_ASSERT_EQUAL(200, call_with(SignHop("old secret", "dispatch", "z1", id)).Status());
+  }
+
   // Guards against retries that multiply with the depth of a call tree.
   void FailureReturnsNoRetries() {
     FakeTarget target([](Connection& connection) {
