--- a/src/dispatch/tests/zones_test.cc
+++ b/src/dispatch/tests/zones_test.cc
@@ -121,19 +121,10 @@
     harness.Teach();
     harness.Arrive();
     harness.Arrive();
-    const auto forwards_of = [&](int calls) {
-      int forwards = 0;
-      for (int call = 0; call < calls; ++call) {
-        ShowRemote(harness, "z2", 10, 0);
-        harness.now_ += milliseconds(1);
-        forwards += Count(harness.Arrive(), ActionKind::kForward);
-      }
-      return forwards;
-    };
-    const int early = forwards_of(10);
-    forwards_of(300);
+    const int early = ForwardsOf(harness, 10);
+    ForwardsOf(harness, 300);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(early), early < 4);
-    CPPUNIT_ASSERT(forwards_of(30) >= 25);
+    CPPUNIT_ASSERT(ForwardsOf(harness, 30) >= 25);
   }
 
   // Guards against interactive calls that stay because later classes wait in the other zone.
@@ -155,18 +146,9 @@
     harness.Teach();
     harness.Arrive();
     harness.Arrive();
-    const auto forwards_of = [&](int calls) {
-      int forwards = 0;
-      for (int call = 0; call < calls; ++call) {
-        ShowRemote(harness, "z2", 10, 0);
-        harness.now_ += milliseconds(1);
-        forwards += Count(harness.Arrive(), ActionKind::kForward);
-      }
-      return forwards;
-    };
-    forwards_of(400);
+    ForwardsOf(harness, 400);
     for (int sign = 0; sign < 3; ++sign) ShowRemote(harness, "z2", 0, 100);
-    CPPUNIT_ASSERT(forwards_of(20) < 10);
+    CPPUNIT_ASSERT(ForwardsOf(harness, 20) < 10);
   }
 
   // Guards against refusals while a zone is out and others have slots, against a herd to one of
@@ -285,6 +267,17 @@
     for (int call = 0; call < 20; ++call) harness.Finish(harness.Arrive().at(0).call_);
   }
 
+  // Calls that go to an idle zone z2, of calls that arrive 1 ms apart.
+  static int ForwardsOf(Harness& harness, int calls) {
+    int forwards = 0;
+    for (int call = 0; call < calls; ++call) {
+      ShowRemote(harness, "z2", 10, 0);
+      harness.now_ += milliseconds(1);
+      forwards += Count(harness.Arrive(), ActionKind::kForward);
+    }
+    return forwards;
+  }
+
   static void ShowRemote(Harness& harness, const std::string& zone, int free, int queued,
                          int ready = 5) {
     OnRemoteShard(*harness.dispatcher_, {zone, free, queued, ready, milliseconds(4)}, harness.now_);
