--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -6,7 +6,7 @@
   set_target_properties(${ARG_NAME}_module PROPERTIES POSITION_INDEPENDENT_CODE ON)
   target_include_directories(${ARG_NAME}_module PUBLIC ${CMAKE_SOURCE_DIR}/src)
   target_link_libraries(${ARG_NAME}_module PUBLIC ${ARG_LINKS})
-  if(ARG_TESTS)
+  if(ARG_TESTS AND MONSOONSHELF_TESTS)
     monsoonshelf_test(NAME ${ARG_NAME} SOURCES ${ARG_TESTS}
                       LINKS ${ARG_NAME}_module ${ARG_TEST_LINKS})
   endif()
--- a/src/app/internal/command.cc
+++ b/src/app/internal/command.cc
@@ -4,6 +4,7 @@
 
 #include "app/internal/record_commands.h"
 #include "app/internal/run_command.h"
+#include "app/internal/serve_command.h"
 #include "app/internal/settings_commands.h"
 #include "app/internal/timeline_command.h"
 
@@ -13,6 +14,7 @@
 
 constexpr auto kCommands = std::to_array<Command>({
     {"run", "SETTINGS", "run an entry host", RunCommand},
+    {"serve", "[--metrics-port PORT]", "run an entry host on the users' platform", ServeCommand},
     {"check-settings", "SETTINGS", "validate a settings file", CheckSettingsCommand},
     {"records", "validate FILE...", "check record files", RecordsCommand},
     {"records", "get KIND NAME", "print a record with its version", RecordsCommand},
--- a/src/app/internal/irecord_store.h
+++ b/src/app/internal/irecord_store.h
@@ -9,7 +9,7 @@
 
 namespace monsoonshelf::app {
 
-// Blocking access to the records on the platform. Errors as for platform::SyncClient.
+// Blocking access to the records on the platform. Errors as for store::SyncClient.
 class IRecordStore {
  public:
   struct Listing {
--- a/src/app/internal/platform_store.cc
+++ b/src/app/internal/platform_store.cc
@@ -2,7 +2,7 @@
 
 #include <thread>
 
-#include "platform/platform_setup.h"
+#include "store/platform_setup.h"
 
 namespace monsoonshelf::app {
 
@@ -14,7 +14,7 @@
 
 class PlatformStore : public IRecordStore {
  public:
-  explicit PlatformStore(std::unique_ptr<platform::SyncClient> client)
+  explicit PlatformStore(std::unique_ptr<store::SyncClient> client)
       : client_(std::move(client)) {}
 
   Result<coordination::PlatformObject> Get(const std::string& kind,
@@ -41,7 +41,7 @@
   void Pause(Duration duration) override { std::this_thread::sleep_for(duration); }
 
  private:
-  std::unique_ptr<platform::SyncClient> client_;
+  std::unique_ptr<store::SyncClient> client_;
 };
 
 }  // namespace
@@ -49,7 +49,7 @@
 Result<std::unique_ptr<IRecordStore>> MakePlatformStore(const std::string& address,
                                                         Duration timeout) {
   BOOST_LEAF_AUTO(client,
-                  platform::SyncClient::Make({address, kCallsPerSecond, kCallBurst}, timeout));
+                  store::SyncClient::Make({address, kCallsPerSecond, kCallBurst}, timeout));
   return std::unique_ptr<IRecordStore>(std::make_unique<PlatformStore>(std::move(client)));
 }
 
--- /dev/null
+++ b/src/app/internal/serve_command.cc
@@ -0,0 +1,146 @@
+#include "app/internal/serve_command.h"
+
+#include <glib-unix.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "app/internal/command.h"
+#include "app/internal/command_line.h"
+#include "base/address.h"
+#include "base/clock.h"
+#include "eventloop/timer.h"
+#include "gateway/gateway.h"
+#include "logging/logging.h"
+#include "platform/call_format.h"
+#include "platform/object_store.h"
+#include "platform/settings_format.h"
+
+namespace monsoonshelf::app {
+
+namespace {
+
+namespace options = boost::program_options;
+using logging::LogLevel;
+
+constexpr std::size_t kMaxSettingsBytes = std::size_t{1} << 20;
+// The settings file may change without a signal, and it is small.
+constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
+// Interval at which a graceful stop is looked at.
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+
+struct ServingHost {
+  std::string settings_path_;
+  std::string settings_text_;
+  int metrics_port_ = 0;
+  platform::CallFormat format_;
+  std::unique_ptr<platform::ObjectStore> store_;
+  std::unique_ptr<gateway::Gateway> gateway_;
+  std::unique_ptr<eventloop::Timer> settings_timer_;
+  std::unique_ptr<eventloop::Timer> stop_timer_;
+  GMainLoop* loop_ = nullptr;
+};
+
+Result<gateway::GatewaySettings> ReadSettingsText(ServingHost& host, const std::string& text) {
+  BOOST_LEAF_AUTO(settings, platform::ReadSettings(text));
+  if (host.metrics_port_ > 0) {
+    if (const auto front = ParseAddress(settings.front_address_)) {
+      Address metrics = *front;
+      metrics.port_ = static_cast<std::uint16_t>(host.metrics_port_);
+      settings.metrics_address_ = FormatAddress(metrics);
+    }
+  }
+  return settings;
+}
+
+// A file that can't be read or is invalid leaves the last good settings in effect.
+void ReloadSettings(ServingHost& host, const char* cause) {
+  const auto read = Capture<std::string>(
+      [&host] { return ReadFile(host.settings_path_, kMaxSettingsBytes); });
+  if (!read.value_) {
+    logging::LogEvent(LogLevel::kError, "settings_rejected", {{"error", read.error_.message_}});
+    return;
+  }
+  if (*read.value_ == host.settings_text_) return;
+  host.settings_text_ = *read.value_;
+  const auto settings = Capture<gateway::GatewaySettings>(
+      [&host] { return ReadSettingsText(host, host.settings_text_); });
+  if (!settings.value_) {
+    logging::LogEvent(LogLevel::kError, "settings_rejected", {{"error", settings.error_.message_}});
+    return;
+  }
+  host.gateway_->Reload(*settings.value_);
+  logging::LogEvent(LogLevel::kInfo, "settings_reloaded", {{"cause", cause}});
+}
+
+gboolean OnStopSignal(gpointer data) {
+  auto& host = *static_cast<ServingHost*>(data);
+  logging::LogEvent(LogLevel::kInfo, "stop_begun");
+  host.gateway_->Stop();
+  host.stop_timer_->Set(Now());
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean OnReloadSignal(gpointer data) {
+  ReloadSettings(*static_cast<ServingHost*>(data), "signal");
+  return G_SOURCE_CONTINUE;
+}
+
+Result<int> Serve(ServingHost& host, const Arguments& arguments) {
+  options::options_description description("Options");
+  description.add_options()("metrics-port", options::value<int>(&host.metrics_port_),
+                            "port of the metrics on the address of the host");
+  BOOST_LEAF_CHECK(ReadCommandLine(description, arguments, 0, 0));
+  if (host.metrics_port_ < 0 || host.metrics_port_ > 65'535) {
+    return Fail(ResultCode::kUsage, "--metrics-port is " + std::to_string(host.metrics_port_) +
+                                        ", allowed are 1 to 65535");
+  }
+  BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
+  BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
+  BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
+  BOOST_LEAF_CHECK(logging::SetUpLogging({}, settings.name_));
+  logging::LogEvent(LogLevel::kInfo, "start",
+                    {{"version", MONSOONSHELF_VERSION},
+                     {"zone", settings.zone_},
+                     {"front", settings.front_address_},
+                     {"store", settings.store_address_}});
+  host.loop_ = g_main_loop_new(nullptr, FALSE);
+  host.store_ = std::make_unique<platform::ObjectStore>(*ParseAddress(settings.store_address_));
+  const auto incarnation = static_cast<Incarnation>(WallMicroseconds());
+  BOOST_LEAF_ASSIGN(host.gateway_,
+                    gateway::StartGateway(settings, host.format_, *host.store_, incarnation,
+                                          std::random_device()() ^ incarnation));
+  host.settings_timer_ = std::make_unique<eventloop::Timer>(nullptr, [&host] {
+    ReloadSettings(host, "file");
+    host.settings_timer_->Set(Now() + kSettingsCheckInterval);
+  });
+  host.settings_timer_->Set(Now() + kSettingsCheckInterval);
+  host.stop_timer_ = std::make_unique<eventloop::Timer>(nullptr, [&host] {
+    if (host.gateway_->IsStopped()) return g_main_loop_quit(host.loop_);
+    host.stop_timer_->Set(Now() + kStopCheckInterval);
+  });
+  g_unix_signal_add(SIGTERM, OnStopSignal, &host);
+  g_unix_signal_add(SIGINT, OnStopSignal, &host);
+  g_unix_signal_add(SIGHUP, OnReloadSignal, &host);
+  g_main_loop_run(host.loop_);
+  logging::LogEvent(LogLevel::kInfo, "stopped");
+  return kExitOk;
+}
+
+}  // namespace
+
+int ServeCommand(const std::vector<std::string>& arguments) {
+  ServingHost host;
+  const int code = RunReporting("serve", [&] { return Serve(host, arguments); });
+  host.settings_timer_.reset();
+  host.stop_timer_.reset();
+  host.gateway_.reset();
+  host.store_.reset();
+  logging::TearDownLogging();
+  if (host.loop_ != nullptr) g_main_loop_unref(host.loop_);
+  return code;
+}
+
+}  // namespace monsoonshelf::app
--- a/src/control/control_setup.h
+++ b/src/control/control_setup.h
@@ -8,14 +8,14 @@
 #include "control/control_task.h"
 #include "coordination/node.h"
 #include "peer/peer_types.h"
-#include "platform/platform_types.h"
+#include "store/platform_types.h"
 
 namespace monsoonshelf::control {
 
 struct ControlSettings {
   // The incarnation 0 is replaced by the wall clock at the start, in microseconds.
   coordination::NodeSettings node_;
-  platform::ClientSettings platform_;
+  store::ClientSettings platform_;
   std::vector<peer::Key> keys_;             // The first one signs; all are accepted.
   std::size_t max_peers_ = 96;              // As in peer::TransportSettings.
   std::vector<std::string> networks_ = {};  // As in peer::TransportSettings.
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -7,13 +7,13 @@
 #include "base/result.h"
 #include "control/control_types.h"
 #include "peer/ipeer_transport.h"
-#include "platform/iplatform_client.h"
+#include "store/iplatform_client.h"
 
 namespace monsoonshelf::control {
 
 // Makes the clients on the control thread, with its main context as the thread default.
 struct ControlFactories {
-  std::function<Result<std::unique_ptr<platform::IPlatformClient>>()> platform_client_;
+  std::function<Result<std::unique_ptr<store::IPlatformClient>>()> platform_client_;
   std::function<Result<std::unique_ptr<peer::IPeerTransport>>()> peer_transport_;
 };
 
--- a/src/control/internal/control_task.cc
+++ b/src/control/internal/control_task.cc
@@ -122,7 +122,7 @@
   GMainLoop* loop_;
   std::thread thread_;
   // Used on the control thread only.
-  std::unique_ptr<platform::IPlatformClient> client_;
+  std::unique_ptr<store::IPlatformClient> client_;
   std::unique_ptr<peer::IPeerTransport> transport_;
   std::unique_ptr<detail::NodeRunner> runner_;
 };
--- a/src/control/internal/node_runner.cc
+++ b/src/control/internal/node_runner.cc
@@ -73,7 +73,7 @@
 }
 
 NodeRunner::NodeRunner(coordination::NodeSettings settings, std::uint64_t random_seed,
-                       platform::IPlatformClient& client, peer::IPeerTransport& transport,
+                       store::IPlatformClient& client, peer::IPeerTransport& transport,
                        ControlCallbacks callbacks)
     : settings_(std::move(settings)),
       random_(random_seed),
--- a/src/control/internal/node_runner.h
+++ b/src/control/internal/node_runner.h
@@ -8,7 +8,7 @@
 #include "control/control_types.h"
 #include "coordination/node.h"
 #include "peer/ipeer_transport.h"
-#include "platform/iplatform_client.h"
+#include "store/iplatform_client.h"
 
 namespace monsoonshelf::control::detail {
 
@@ -18,7 +18,7 @@
  public:
   // The clients outlive the runner.
   NodeRunner(coordination::NodeSettings settings, std::uint64_t random_seed,
-             platform::IPlatformClient& client, peer::IPeerTransport& transport,
+             store::IPlatformClient& client, peer::IPeerTransport& transport,
              ControlCallbacks callbacks);
   ~NodeRunner();
   NodeRunner(const NodeRunner&) = delete;
@@ -45,7 +45,7 @@
 
   coordination::NodeSettings settings_;
   Random random_;
-  platform::IPlatformClient& client_;
+  store::IPlatformClient& client_;
   peer::IPeerTransport& transport_;
   ControlCallbacks callbacks_;
   coordination::NodePtr node_;
--- a/src/control/tests/mocks.h
+++ b/src/control/tests/mocks.h
@@ -5,18 +5,18 @@
 #include <vector>
 
 #include "peer/ipeer_transport.h"
-#include "platform/iplatform_client.h"
+#include "store/iplatform_client.h"
 
 namespace monsoonshelf::control {
 
 // Keeps requests until the test answers them.
-class MockPlatformClient : public platform::IPlatformClient {
+class MockPlatformClient : public store::IPlatformClient {
  public:
   void Send(const coordination::PlatformRequest& request, Callback callback) override {
     requests_.emplace_back(request, std::move(callback));
   }
   void Close() override { requests_.clear(); }
-  const platform::ClientCounters& Counters() const override { return counters_; }
+  const store::ClientCounters& Counters() const override { return counters_; }
 
   // Answers the oldest request of an operation; false if there is none.
   bool Answer(coordination::PlatformOperation operation, coordination::PlatformReply reply) {
@@ -33,7 +33,7 @@
   }
 
   std::vector<std::pair<coordination::PlatformRequest, Callback>> requests_;
-  platform::ClientCounters counters_;
+  store::ClientCounters counters_;
 };
 
 // Keeps what is sent.
--- a/src/entry/internal/entry_host.cc
+++ b/src/entry/internal/entry_host.cc
@@ -6,11 +6,18 @@
 #include "base/clock.h"
 #include "entry/internal/data_task.h"
 #include "entry/internal/dispatch_task.h"
-#include "entry/internal/lifecycle.h"
 #include "entry/internal/listener.h"
+#include "lifecycle/lifecycle.h"
 
 namespace monsoonshelf::entry {
 
+using lifecycle::kLifecycleEventNames;
+using lifecycle::kLifecycleStateNames;
+using lifecycle::LifecycleEvent;
+using lifecycle::LifecycleMachine;
+using lifecycle::LifecycleState;
+using lifecycle::LoadLifecycle;
+
 namespace {
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
--- a/src/entry/internal/task.cc
+++ b/src/entry/internal/task.cc
@@ -2,13 +2,10 @@
 
 #include <pthread.h>
 
-#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <utility>
 
-#include "base/clock.h"
-
 namespace monsoonshelf::entry {
 
 struct Task::MailboxSource {
@@ -109,43 +106,4 @@
   g_main_context_pop_thread_default(context_);
 }
 
-struct Timer::TimerSource {
-  GSource base_;
-  Timer* timer_;
-};
-
-Timer::Timer(GMainContext* context, std::function<void()> callback)
-    : callback_(std::move(callback)) {
-  // Not a GLib timeout source: that one sets its next time itself after each run.
-  static GSourceFuncs functions = {nullptr, nullptr, &Timer::Fire, nullptr, nullptr, nullptr};
-  source_ = g_source_new(&functions, sizeof(TimerSource));
-  reinterpret_cast<TimerSource*>(source_)->timer_ = this;
-  g_source_attach(source_, context);
-}
-
-Timer::~Timer() {
-  g_source_destroy(source_);
-  g_source_unref(source_);
-}
-
-void Timer::Set(Time at) {
-  at_ = at;
-  active_ = true;
-  const auto wait = std::max(Duration(0), at - Now());
-  g_source_set_ready_time(source_, g_get_monotonic_time() + wait.count());
-}
-
-void Timer::Clear() {
-  if (!active_) return;
-  active_ = false;
-  g_source_set_ready_time(source_, -1);
-}
-
-gboolean Timer::Fire(GSource* source, GSourceFunc, gpointer) {
-  auto* timer = reinterpret_cast<TimerSource*>(source)->timer_;
-  timer->Clear();
-  timer->callback_();
-  return G_SOURCE_CONTINUE;
-}
-
 }  // namespace monsoonshelf::entry
--- a/src/entry/internal/task.h
+++ b/src/entry/internal/task.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/base_types.h"
+#include "eventloop/timer.h"
 
 namespace monsoonshelf::entry {
 
@@ -70,28 +71,6 @@
   std::atomic<std::thread::id> id_{};
 };
 
-// Timer on a main context, used only on the thread of the context. Setting it again is cheap.
-class Timer {
- public:
-  Timer(GMainContext* context, std::function<void()> callback);
-  ~Timer();
-  Timer(const Timer&) = delete;
-  Timer& operator=(const Timer&) = delete;
-
-  // Replaces the time. The callback runs once, at `at` at the earliest.
-  void Set(Time at);
-  void Clear();
-  bool IsActive() const { return active_; }
-  Time At() const { return at_; }
-
- private:
-  struct TimerSource;
-  static gboolean Fire(GSource* source, GSourceFunc callback, gpointer data);
-
-  GSource* source_ = nullptr;
-  std::function<void()> callback_;
-  Time at_{};
-  bool active_ = false;
-};
+using eventloop::Timer;
 
 }  // namespace monsoonshelf::entry
--- /dev/null
+++ b/src/gateway/admission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/base_types.h"
+#include "gateway/placement.h"
+
+namespace monsoonshelf::gateway {
+
+struct Admission {
+  bool admitted_ = true;
+  Duration retry_after_{};  // When there is likely to be room, if it isn't admitted.
+};
+
+// Whether a request that the best target would answer after `expected` is worth sending: not if the
+// time that is left ends before, or if the target's queue would refuse it.
+Admission Admit(const Candidate& best, const PlacementInputs& inputs, Duration expected,
+                Duration time_left);
+
+// When a second target is tried while the first one works: early enough for the latency objective,
+// not before most requests are answered.
+Duration HedgeDelay(Duration work, Duration expected, Duration objective_left);
+
+// Spreads the return of callers that were refused at the same time.
+Duration SpreadRetry(Duration retry_after, Random& random);
+// Time to return when no target is known or responds.
+Duration RetryAfterNoTarget(Random& random);
+// Time to return to an entry host that has just started.
+inline constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+
+}  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/gateway/internal/gateway_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/base_types.h"
+
+namespace monsoonshelf::gateway {
+
+// Counters and histograms of one entry host, served as text.
+class GatewayMetrics {
+ public:
+  GatewayMetrics(const HostName& host, const std::string& zone);
+  ~GatewayMetrics();
+
+  // A request ended; `outcome` and `reason` as in the log line request_done.
+  void CountRequest(std::string_view service, std::string_view outcome, std::string_view reason);
+  void ObserveTimes(std::string_view service, Duration total, Duration waiting, Duration at_target);
+  void CountSend(std::string_view service, std::string_view result);
+  void CountRepeat(std::string_view service, std::string_view why);
+  void CountColdSend(std::string_view service);
+  void CountProbe(std::string_view result);
+  void CountStoreCall(std::string_view kind, std::string_view status);
+  void CountDirectoryQuery();
+  void SetGauge(std::string_view name, double value);
+  std::string Format() const;
+
+ private:
+  struct Families;
+  std::unique_ptr<Families> families_;
+};
+
+}  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/gateway/internal/probe.cc
@@ -0,0 +1,98 @@
+#include "gateway/internal/probe.h"
+
+#include <utility>
+
+#include "base/clock.h"
+#include "logging/logging.h"
+
+namespace monsoonshelf::gateway {
+
+Probe::Probe(GatewayState& state, TargetPtr target, OnEnd on_end)
+    : state_(state), target_(std::move(target)), on_end_(std::move(on_end)) {}
+
+bool Probe::Start(Time now) {
+  connection_ = state_.pool_.Acquire(target_->address_, MaxConnections(state_, *target_));
+  if (connection_ == nullptr) return false;
+  started_ = now;
+  running_ = true;
+  reused_connection_ = connection_->WasUsed();
+  const std::string& path = SpecOf(state_, target_->record_.service_).health_path_;
+  connection_->Start(state_.format_.WriteProbe(target_->record_.address_, path), false, *this);
+  return true;
+}
+
+bool Probe::OnHead(http::ResponseHead& head) {
+  const ProbeAnswer answer = state_.format_.ReadProbeAnswer(head);
+  if (answer.target_ && *answer.target_ != target_->record_.id_) {
+    if (!target_->misdirected_) {
+      logging::LogEvent(logging::LogLevel::kWarning, "target_misdirected",
+                        {{"target", target_->record_.id_},
+                         {"address", target_->record_.address_},
+                         {"found", *answer.target_}});
+    }
+    target_->misdirected_ = true;
+    return true;
+  }
+  if (target_->health_.reports_ill_ == answer.healthy_) {
+    logging::LogEvent(
+        logging::LogLevel::kInfo, "target_health",
+        {{"target", target_->record_.id_}, {"healthy", answer.healthy_ ? "yes" : "no"}});
+  }
+  target_->health_.reports_ill_ = !answer.healthy_;
+  target_->health_.unresponsive_until_ = {};
+  LearnCold(*target_, answer.cold_left_, Now());
+  load_ = answer.load_;
+  answered_ = true;
+  return true;
+}
+
+void Probe::OnDone() {
+  state_.metrics_.CountProbe(answered_ ? "answered" : "misdirected");
+  End();
+}
+
+void Probe::OnFailed(http::Failure failure, bool /*sent*/) {
+  const auto self = shared_from_this();
+  state_.pool_.Release(connection_);
+  connection_.reset();
+  if (reused_connection_ && on_end_ != nullptr && failure != http::Failure::kMalformed) {
+    // The target may have closed the idle connections; a new one tells.
+    state_.pool_.Forget(FormatAddress(target_->address_));
+    if (Start(Now())) return;
+  }
+  state_.metrics_.CountProbe(NameOf(http::kFailureNames, failure));
+  CountProbeLoss(target_->health_, Now());
+  End();
+}
+
+void Probe::Expire(Time now) {
+  if (!running_) return;
+  const auto self = shared_from_this();
+  state_.metrics_.CountProbe("timeout");
+  CountProbeLoss(target_->health_, now);
+  connection_->Cancel();
+  state_.pool_.Release(connection_);
+  connection_.reset();
+  End();
+}
+
+void Probe::End() {
+  const auto self = shared_from_this();
+  running_ = false;
+  const OnEnd on_end = std::exchange(on_end_, nullptr);
+  if (on_end != nullptr) {
+    on_end(*this);
+  } else {
+    ReleaseConnection();
+  }
+}
+
+http::ClientConnectionPtr Probe::TakeConnection() { return std::exchange(connection_, nullptr); }
+
+void Probe::ReleaseConnection() {
+  if (connection_ == nullptr || running_) return;
+  state_.pool_.Release(connection_);
+  connection_.reset();
+}
+
+}  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/gateway/internal/zone_peers.cc
@@ -0,0 +1,123 @@
+#include "gateway/zone_peers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace monsoonshelf::gateway {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A peer that was silent for longer gives up its place among the watched ones, and is tried
+// from time to time.
+constexpr Duration kLostPeerTime = std::chrono::seconds(4);
+constexpr Duration kLostPeerInterval = std::chrono::seconds(3);
+
+bool IsLost(const Peer& peer, Time now) {
+  return peer.pinged_ != Time{} && now - peer.heard_ > kLostPeerTime;
+}
+
+XXH64_hash_t Distance(const HostName& from, const HostName& to) {
+  const std::string key = from + ' ' + to;
+  return XXH3_64bits(key.data(), key.size());
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  const Json body = {{"type", NameOf(kPeerMessageTypeNames, message.type_)},
+                     {"name", message.sender_.name_},
+                     {"zone", message.sender_.zone_},
+                     {"front", message.sender_.front_address_},
+                     {"peer", message.sender_.peer_address_},
+                     {"incarnation", message.sender_.incarnation_},
+                     {"serving", message.serving_},
+                     {"target", message.target_}};
+  const std::vector<std::uint8_t> bytes = Json::to_msgpack(body);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  const Json body = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  if (!body.is_object()) return std::nullopt;
+  const auto text = [&body](const char* key) -> std::optional<std::string> {
+    const auto found = body.find(key);
+    if (found == body.end() || !found->is_string()) return std::nullopt;
+    return found->get<std::string>();
+  };
+  const auto type = ValueOf(kPeerMessageTypeNames, text("type").value_or(""));
+  const auto incarnation = body.find("incarnation");
+  const auto serving = body.find("serving");
+  if (!type || !text("name") || !text("zone") || !text("front") || !text("peer") ||
+      incarnation == body.end() || !incarnation->is_number_unsigned() || serving == body.end() ||
+      !serving->is_boolean()) {
+    return std::nullopt;
+  }
+  PeerMessage message;
+  message.type_ = *type;
+  message.sender_ = {*text("name"), *text("zone"), *text("front"), *text("peer"),
+                     incarnation->get<Incarnation>()};
+  message.serving_ = serving->get<bool>();
+  message.target_ = text("target").value_or("");
+  return message;
+}
+
+void LearnPeer(ZonePeers& peers, const HostRecord& record) {
+  if (record.name_ == peers.self_.name_ || record.zone_ != peers.self_.zone_) return;
+  Peer& peer = peers.peers_[record.name_];
+  if (record.incarnation_ >= peer.record_.incarnation_) peer.record_ = record;
+}
+
+void OnPeerHeard(ZonePeers& peers, const PeerMessage& message, Time now) {
+  LearnPeer(peers, message.sender_);
+  const auto found = peers.peers_.find(message.sender_.name_);
+  if (found == peers.peers_.end()) return;
+  Peer& peer = found->second;
+  // A delayed message of an earlier incarnation says nothing about the present one.
+  if (message.sender_.incarnation_ < peer.record_.incarnation_) return;
+  peer.heard_ = now;
+  peer.was_heard_ = true;
+  peer.serving_ = message.serving_ && message.type_ != PeerMessageType::kLeaving;
+}
+
+std::vector<HostRecord> DuePings(ZonePeers& peers, Time now) {
+  std::vector<Peer*> watched;
+  std::vector<Peer*> lost;
+  for (auto& [name, peer] : peers.peers_) (IsLost(peer, now) ? lost : watched).push_back(&peer);
+  if (watched.size() > kWatchedPeers) {
+    const HostName& self = peers.self_.name_;
+    std::partial_sort(watched.begin(), watched.begin() + kWatchedPeers, watched.end(),
+                      [&self](const Peer* left, const Peer* right) {
+                        return Distance(self, left->record_.name_) <
+                               Distance(self, right->record_.name_);
+                      });
+    watched.resize(kWatchedPeers);
+  }
+  std::vector<HostRecord> due;
+  const auto add = [&due, now](Peer* peer, Duration interval) {
+    if (now - peer->pinged_ < interval) return;
+    if (peer->pinged_ == Time{}) peer->heard_ = now;  // Its time to answer begins.
+    peer->pinged_ = now;
+    due.push_back(peer->record_);
+  };
+  for (Peer* peer : watched) add(peer, kPingInterval);
+  for (Peer* peer : lost) add(peer, kLostPeerInterval);
+  return due;
+}
+
+bool IsAlive(const Peer& peer, Time now) {
+  return peer.was_heard_ && now - peer.heard_ <= kPeerTimeout;
+}
+
+std::vector<const Peer*> ServingPeers(const ZonePeers& peers, Time now) {
+  std::vector<const Peer*> serving;
+  for (const auto& [name, peer] : peers.peers_) {
+    if (peer.serving_ && IsAlive(peer, now)) serving.push_back(&peer);
+  }
+  return serving;
+}
+
+}  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/gateway/record_feed.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/base_types.h"
+#include "eventloop/timer.h"
+#include "gateway/irecord_store.h"
+
+namespace monsoonshelf::gateway {
+
+// Time limits of the calls of a feed.
+struct FeedSettings {
+  Duration list_timeout_ = std::chrono::milliseconds(1500);
+  // A watch is a paid call each time it returns, so an idle one waits as long as the store allows.
+  Duration watch_wait_ = std::chrono::seconds(30);
+  // Pause between two watches: changes that come together cost one call.
+  Duration watch_pause_ = std::chrono::milliseconds(150);
+  Duration first_retry_ = std::chrono::milliseconds(200);
+  Duration last_retry_ = std::chrono::milliseconds(1000);
+};
+
+// Follows the records of one kind: lists them, then watches from the revision of the list.
+class RecordFeed {
+ public:
+  struct Handler {
+    // Replaces everything that was known of the kind.
+    std::function<void(const std::vector<StoredRecord>&, Revision)> on_snapshot_;
+    std::function<void(const StoreEvent&)> on_event_;
+    // The outcome of each call, for the state of the store.
+    std::function<void(StoreStatus)> on_status_;
+  };
+
+  RecordFeed(IRecordStore& store, RecordKind kind, Handler handler, FeedSettings settings = {});
+
+  void Start();
+  // Gives up a watch that may be waiting on a dead connection and watches anew.
+  void Restart();
+  bool HasSnapshot() const { return has_snapshot_; }
+  Revision Position() const { return revision_; }
+  // When the store last answered a call of this feed.
+  Time Confirmed() const { return confirmed_; }
+
+ private:
+  void List(const std::string& after);
+  void OnPage(StorePage page);
+  void Watch();
+  void OnEvents(StoreEvents events);
+  void RetryLater();
+  void Step();
+
+  IRecordStore& store_;
+  RecordKind kind_;
+  Handler handler_;
+  FeedSettings settings_;
+  eventloop::Timer timer_;
+  bool has_snapshot_ = false;
+  bool must_list_ = true;
+  bool listing_ = false;
+  Consistency consistency_ = Consistency::kStale;
+  std::vector<StoredRecord> pages_;
+  Revision pages_revision_ = 0;
+  Revision revision_ = 0;
+  Duration retry_;
+  Time confirmed_{};
+};
+
+}  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/http/internal/http_client.cc
@@ -0,0 +1,120 @@
+#include "http/http_client.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace monsoonshelf::http {
+
+struct HttpClient::Exchange : IExchangeHandler {
+  bool OnHead(ResponseHead& head) override {
+    result_.status_ = head.status_;
+    return true;
+  }
+  void OnBody(std::string& body) override {
+    result_.body_.append(body);
+    body.clear();
+  }
+  void OnDone() override { owner_->End(id_, std::move(result_)); }
+  void OnFailed(Failure failure, bool /*sent*/) override {
+    const bool idle_close = reused_ && result_.status_ == 0 && failure != Failure::kMalformed;
+    if (idle_close && idempotent_) {
+      owner_->pool_.Release(connection_);
+      owner_->pool_.Forget(FormatAddress(owner_->address_));
+      return owner_->Begin(*this);
+    }
+    owner_->End(id_, {0, {}, failure, false});
+  }
+
+  HttpClient* owner_ = nullptr;
+  CallId id_ = 0;
+  std::string request_;
+  bool idempotent_ = false;
+  bool reused_ = false;
+  Time deadline_{};
+  Callback callback_;
+  ClientConnectionPtr connection_;
+  CallResult result_;
+};
+
+HttpClient::HttpClient(Address address, const StreamOptions& options, std::size_t max_connections)
+    : address_(std::move(address)),
+      pool_(options),
+      max_connections_(max_connections),
+      timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
+
+HttpClient::~HttpClient() {
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->connection_ != nullptr) exchange->connection_->Cancel();
+  }
+}
+
+HttpClient::CallId HttpClient::Call(std::string request, bool idempotent, Duration timeout,
+                                    Callback callback) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->owner_ = this;
+  exchange->id_ = next_call_++;
+  exchange->request_ = std::move(request);
+  exchange->idempotent_ = idempotent;
+  exchange->deadline_ = Now() + timeout;
+  exchange->callback_ = std::move(callback);
+  exchanges_[exchange->id_] = exchange;
+  Begin(*exchange);
+  SetTimer();
+  return exchange->id_;
+}
+
+void HttpClient::Begin(Exchange& exchange) {
+  exchange.connection_ = pool_.Acquire(address_, max_connections_);
+  // Without a free connection the call ends by its timeout.
+  if (exchange.connection_ == nullptr) return;
+  exchange.reused_ = exchange.connection_->WasUsed();
+  exchange.connection_->Start(exchange.request_, false, exchange);
+}
+
+void HttpClient::Cancel(CallId call) {
+  const auto found = exchanges_.find(call);
+  if (found == exchanges_.end()) return;
+  const auto exchange = std::move(found->second);
+  exchanges_.erase(found);
+  if (exchange->connection_ == nullptr) return;
+  exchange->connection_->Cancel();
+  pool_.Release(exchange->connection_);
+}
+
+void HttpClient::End(CallId call, CallResult result) {
+  const auto found = exchanges_.find(call);
+  if (found == exchanges_.end()) return;
+  const auto exchange = std::move(found->second);
+  exchanges_.erase(found);
+  if (exchange->connection_ != nullptr) pool_.Release(exchange->connection_);
+  exchange->callback_(std::move(result));
+}
+
+void HttpClient::OnTimer() {
+  const Time now = Now();
+  std::vector<CallId> due;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->deadline_ <= now) due.push_back(id);
+  }
+  for (const CallId id : due) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) continue;
+    const auto exchange = found->second;
+    if (exchange->connection_ != nullptr) exchange->connection_->Cancel();
+    End(id, {0, {}, Failure::kNone, true});
+  }
+  pool_.Sweep(now);
+  SetTimer();
+}
+
+void HttpClient::SetTimer() {
+  Time next = Time::max();
+  for (const auto& [id, exchange] : exchanges_) next = std::min(next, exchange->deadline_);
+  if (next == Time::max()) return;
+  if (!timer_.IsActive() || next < timer_.At()) timer_.Set(next);
+}
+
+}  // namespace monsoonshelf::http
--- /dev/null
+++ b/src/http/internal/listener.cc
@@ -0,0 +1,93 @@
+#include "http/listener.h"
+
+#include <unistd.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "http/socket_address.h"
+#include "logging/logging.h"
+
+namespace monsoonshelf::http {
+
+namespace {
+
+constexpr int kBacklog = 512;
+// Connections that one turn accepts, so that open ones are served in between.
+constexpr int kAcceptsPerTurn = 16;
+
+leaf::error_id ListenFailed(const std::string& address) {
+  return Fail(ResultCode::kListenFailed,
+              "cannot listen on \"" + address + "\": " + std::strerror(errno));
+}
+
+}  // namespace
+
+struct Listener::ListenerSource {
+  GSource base_;
+  Listener* listener_;
+};
+
+Result<std::unique_ptr<Listener>> Listener::Open(const std::string& address, OnAccept on_accept) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    return Fail(ResultCode::kListenFailed, "\"" + address + "\" is not IP:port");
+  }
+  const SocketAddress local = ToSocketAddress(*parsed);
+  std::unique_ptr<Listener> listener(new Listener);
+  listener->descriptor_ =
+      socket(local.Family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  if (listener->descriptor_ < 0) return ListenFailed(address);
+  const int one = 1;
+  (void)setsockopt(listener->descriptor_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  if (bind(listener->descriptor_, local.Get(), local.length_) != 0 ||
+      listen(listener->descriptor_, kBacklog) != 0) {
+    return ListenFailed(address);
+  }
+  listener->address_ = address;
+  if (parsed->port_ == 0) {
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    if (getsockname(listener->descriptor_, reinterpret_cast<sockaddr*>(&bound), &length) != 0) {
+      return ListenFailed(address);
+    }
+    Address with_port = *parsed;
+    with_port.port_ = ntohs(bound.sin_port);
+    listener->address_ = FormatAddress(with_port);
+  }
+  listener->on_accept_ = std::move(on_accept);
+  static GSourceFuncs functions = {nullptr, nullptr, &Listener::Dispatch,
+                                   nullptr, nullptr, nullptr};
+  listener->source_ = g_source_new(&functions, sizeof(ListenerSource));
+  reinterpret_cast<ListenerSource*>(listener->source_)->listener_ = listener.get();
+  g_source_add_unix_fd(listener->source_, listener->descriptor_, G_IO_IN);
+  g_source_attach(listener->source_, g_main_context_get_thread_default());
+  return listener;
+}
+
+Listener::~Listener() {
+  if (source_ != nullptr) {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+  }
+  if (descriptor_ >= 0) close(descriptor_);
+}
+
+gboolean Listener::Dispatch(GSource* source, GSourceFunc, gpointer) {
+  Listener* listener = reinterpret_cast<ListenerSource*>(source)->listener_;
+  for (int i = 0; i < kAcceptsPerTurn; ++i) {
+    const int descriptor =
+        accept4(listener->descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+        logging::LogEvent(logging::LogLevel::kWarning, "accept_failed",
+                          {{"address", listener->address_}, {"error", std::strerror(errno)}});
+      }
+      break;
+    }
+    listener->on_accept_(descriptor);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+}  // namespace monsoonshelf::http
--- /dev/null
+++ b/src/http/internal/message_parser.cc
@@ -0,0 +1,169 @@
+#include "http/message_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+
+namespace monsoonshelf::http {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using beast::string_view;
+
+std::string Text(string_view text) { return {text.data(), text.size()}; }
+
+// Collects what both kinds of messages share. `Base` is the Beast parser of the message kind.
+template <bool kIsRequest>
+class CollectingParser : public bhttp::basic_parser<kIsRequest> {
+ public:
+  std::size_t PutBytes(std::string_view bytes) {
+    std::size_t consumed = 0;
+    while (consumed < bytes.size() && !this->is_done() && error_ == ParseError::kNone) {
+      beast::error_code code;
+      const std::size_t count =
+          this->put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
+      consumed += count;
+      if (code == bhttp::error::need_more) break;
+      if (code) SetError(code);
+      if (count == 0) break;
+    }
+    return consumed;
+  }
+
+  void SetError(const beast::error_code& code) {
+    if (code == bhttp::error::header_limit) {
+      error_ = ParseError::kHeaderTooLarge;
+    } else if (code == bhttp::error::body_limit) {
+      error_ = ParseError::kBodyTooLarge;
+    } else {
+      error_ = ParseError::kMalformed;
+    }
+  }
+
+  ParseError error_ = ParseError::kNone;
+  Headers headers_;
+  std::string method_;
+  std::string target_;
+  int status_ = 0;
+  std::string body_;
+
+ protected:
+  void on_request_impl(bhttp::verb /*method*/, string_view method, string_view target,
+                       int /*version*/, beast::error_code& code) override {
+    code = {};
+    method_ = Text(method);
+    target_ = Text(target);
+  }
+  void on_response_impl(int status, string_view /*reason*/, int /*version*/,
+                        beast::error_code& code) override {
+    code = {};
+    status_ = status;
+  }
+  void on_field_impl(bhttp::field /*field*/, string_view name, string_view value,
+                     beast::error_code& code) override {
+    code = {};
+    headers_.emplace_back(Text(name), Text(value));
+  }
+  void on_header_impl(beast::error_code& code) override { code = {}; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         beast::error_code& code) override {
+    code = {};
+  }
+  std::size_t on_body_impl(string_view bytes, beast::error_code& code) override {
+    code = {};
+    body_.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                            beast::error_code& code) override {
+    code = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*left*/, string_view bytes,
+                                 beast::error_code& code) override {
+    code = {};
+    body_.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(beast::error_code& code) override { code = {}; }
+};
+
+}  // namespace
+
+struct RequestParser::Parser : CollectingParser<true> {
+  RequestHead head_;
+  bool has_head_ = false;
+};
+
+RequestParser::RequestParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+    : parser_(std::make_unique<Parser>()) {
+  parser_->header_limit(static_cast<std::uint32_t>(
+      std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
+  parser_->body_limit(max_body_bytes);
+}
+
+RequestParser::~RequestParser() = default;
+
+std::size_t RequestParser::Put(std::string_view bytes) {
+  const std::size_t consumed = parser_->PutBytes(bytes);
+  if (!parser_->has_head_ && parser_->is_header_done()) {
+    parser_->has_head_ = true;
+    RequestHead& head = parser_->head_;
+    head.method_ = std::move(parser_->method_);
+    head.target_ = std::move(parser_->target_);
+    head.headers_ = std::move(parser_->headers_);
+    head.keep_alive_ = parser_->keep_alive();
+    const std::string* expect = FindHeader(head.headers_, "Expect");
+    head.expects_continue_ = expect != nullptr && EqualNames(*expect, "100-continue");
+  }
+  return consumed;
+}
+
+bool RequestParser::HasHead() const { return parser_->has_head_; }
+bool RequestParser::IsDone() const { return parser_->is_done(); }
+ParseError RequestParser::Error() const { return parser_->error_; }
+RequestHead& RequestParser::Head() { return parser_->head_; }
+std::string& RequestParser::Body() { return parser_->body_; }
+
+struct ResponseParser::Parser : CollectingParser<false> {
+  ResponseHead head_;
+  bool has_head_ = false;
+};
+
+ResponseParser::ResponseParser(bool has_no_body) : parser_(std::make_unique<Parser>()) {
+  parser_->header_limit(kMaxResponseHeaderBytes);
+  parser_->body_limit(boost::none);
+  if (has_no_body) parser_->skip(true);
+}
+
+ResponseParser::~ResponseParser() = default;
+
+std::size_t ResponseParser::Put(std::string_view bytes) {
+  const std::size_t consumed = parser_->PutBytes(bytes);
+  if (!parser_->has_head_ && parser_->is_header_done()) {
+    parser_->has_head_ = true;
+    ResponseHead& head = parser_->head_;
+    head.status_ = parser_->status_;
+    head.headers_ = std::move(parser_->headers_);
+    head.keep_alive_ = parser_->keep_alive();
+    head.ends_with_connection_ = parser_->need_eof();
+  }
+  return consumed;
+}
+
+void ResponseParser::PutEnd() {
+  if (parser_->is_done() || parser_->error_ != ParseError::kNone) return;
+  beast::error_code code;
+  parser_->put_eof(code);
+  if (code) parser_->SetError(code);
+}
+
+bool ResponseParser::HasHead() const { return parser_->has_head_; }
+bool ResponseParser::IsDone() const { return parser_->is_done(); }
+ParseError ResponseParser::Error() const { return parser_->error_; }
+ResponseHead& ResponseParser::Head() { return parser_->head_; }
+std::string& ResponseParser::Body() { return parser_->body_; }
+
+}  // namespace monsoonshelf::http
--- /dev/null
+++ b/src/http/internal/server_connection.cc
@@ -0,0 +1,224 @@
+#include "http/server_connection.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "http/message_writer.h"
+
+namespace monsoonshelf::http {
+
+namespace {
+
+// Bytes read ahead of the present request. More than this waits in the socket.
+constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
+// A closed connection stays open this long for the peer to read the answer.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+// Finds callers whose host disappeared without closing.
+constexpr StreamOptions kCallerOptions = {.keep_alive_ = std::chrono::seconds(10),
+                                          .user_timeout_ = std::chrono::seconds(10)};
+
+}  // namespace
+
+ServerConnection::ServerConnection(int descriptor, ServerConnections& owner)
+    : owner_(owner), state_since_(Now()) {
+  stream_ = Stream::Adopt(descriptor, *this, kCallerOptions);
+}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::OnBytes() {
+  last_byte_ = Now();
+  if (state_ == State::kIdle) {
+    state_ = State::kReading;
+    state_since_ = last_byte_;
+    request_began_ = last_byte_;
+  }
+  if (state_ == State::kReading) {
+    Parse();
+  } else if (stream_->Input().size() > kMaxReadAhead) {
+    stream_->PauseReading(true);
+  }
+}
+
+void ServerConnection::Parse() {
+  const auto self = shared_from_this();
+  std::string& input = stream_->Input();
+  if (parser_ == nullptr) {
+    // Empty lines before a request are allowed and ignored.
+    const std::size_t begin = input.find_first_not_of("\r\n");
+    input.erase(0, std::min(begin, input.size()));
+    if (input.empty()) return;
+    parser_ = std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
+                                              owner_.limits_.max_body_bytes_);
+    continue_sent_ = false;
+  }
+  const std::size_t before = parser_->Body().size();
+  input.erase(0, parser_->Put(input));
+  owner_.buffered_ += parser_->Body().size() - before;
+  switch (parser_->Error()) {
+    case ParseError::kNone:
+      break;
+    case ParseError::kHeaderTooLarge:
+      return Reject(431, "header is too large");
+    case ParseError::kBodyTooLarge:
+      return Reject(413, "body is too large");
+    case ParseError::kMalformed:
+      return Reject(400, "request is malformed");
+  }
+  if (parser_->HasHead() && !parser_->IsDone()) {
+    if (owner_.buffered_ > owner_.max_buffered_) return Reject(503, "request bodies fill memory");
+    if (parser_->Head().expects_continue_ && !continue_sent_) {
+      continue_sent_ = true;
+      stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return;
+  }
+  if (!parser_->IsDone()) return;
+  Request request{std::move(parser_->Head()), std::move(parser_->Body()), request_began_};
+  owner_.buffered_ -= request.body_.size();
+  parser_.reset();
+  state_ = State::kBusy;
+  state_since_ = Now();
+  keep_alive_ = request.head_.keep_alive_;
+  is_head_ = request.head_.method_ == "HEAD";
+  owner_.handler_.OnRequest(self, std::move(request));
+}
+
+void ServerConnection::Reject(int status, std::string_view reason) {
+  if (parser_ != nullptr) owner_.buffered_ -= parser_->Body().size();
+  parser_.reset();
+  owner_.handler_.OnRejected(status, reason);
+  keep_alive_ = false;
+  is_head_ = false;
+  state_ = State::kBusy;
+  Respond(status, {{"Content-Type", "text/plain"}}, reason, true);
+}
+
+void ServerConnection::Respond(int status, Headers headers, std::string_view body, bool close) {
+  if (state_ != State::kBusy) return;
+  close = close || !keep_alive_ || owner_.closing_;
+  std::string text = FormatResponseHead(status, headers, body.size(), close);
+  if (!is_head_) text.append(body);
+  state_ = State::kStreaming;
+  stream_->Write(text);
+  FinishAnswer(close);
+}
+
+void ServerConnection::BeginBody(int status, Headers headers, bool close) {
+  if (state_ != State::kBusy) return;
+  keep_alive_ = keep_alive_ && !close && !owner_.closing_;
+  state_ = State::kStreaming;
+  stream_->Write(FormatChunkedHead(status, headers, !keep_alive_));
+}
+
+void ServerConnection::WriteBody(std::string_view bytes) {
+  if (state_ != State::kStreaming || bytes.empty() || is_head_) return;
+  stream_->Write(FormatChunk(bytes));
+}
+
+void ServerConnection::EndBody() {
+  if (state_ != State::kStreaming) return;
+  if (!is_head_) stream_->Write(kLastChunk);
+  FinishAnswer(!keep_alive_);
+}
+
+void ServerConnection::Abort() { Drop(); }
+
+void ServerConnection::FinishAnswer(bool close) {
+  if (stream_ == nullptr) return;
+  state_since_ = Now();
+  last_byte_ = state_since_;
+  if (close) return CloseGracefully();
+  state_ = State::kIdle;
+  stream_->PauseReading(false);
+  if (stream_->Input().empty()) return;
+  state_ = State::kReading;
+  request_began_ = state_since_;
+  Parse();
+}
+
+void ServerConnection::CloseGracefully() {
+  state_ = State::kClosing;
+  stream_->ShutDown();
+}
+
+void ServerConnection::OnWritten() {
+  if (state_ == State::kStreaming) owner_.handler_.OnDrained(shared_from_this());
+}
+
+void ServerConnection::OnClosed(Failure failure) {
+  const auto self = shared_from_this();
+  const bool was_busy = IsBusy();
+  // The end of the caller's sending direction, with a request open, means that it has left.
+  (void)failure;
+  Drop();
+  if (was_busy) owner_.handler_.OnCallerGone(self);
+}
+
+void ServerConnection::Drop() {
+  if (state_ == State::kClosed) return;
+  const auto self = shared_from_this();
+  if (parser_ != nullptr) owner_.buffered_ -= parser_->Body().size();
+  parser_.reset();
+  state_ = State::kClosed;
+  stream_.reset();
+  owner_.connections_.erase(self);
+}
+
+bool ServerConnection::CloseIfIdle() {
+  if (state_ != State::kIdle || !stream_->Input().empty()) return false;
+  CloseGracefully();
+  return true;
+}
+
+void ServerConnection::Check(Time now) {
+  const ServerLimits& limits = owner_.limits_;
+  switch (state_) {
+    case State::kIdle:
+      if (now - state_since_ > limits.idle_timeout_) CloseGracefully();
+      break;
+    case State::kReading: {
+      const bool has_head = parser_ != nullptr && parser_->HasHead();
+      if (!has_head && now - state_since_ > limits.header_timeout_) {
+        Reject(408, "header took too long");
+      } else if (has_head && now - last_byte_ > limits.body_timeout_) {
+        Reject(408, "body took too long");
+      }
+      break;
+    }
+    case State::kClosing:
+      if (now - state_since_ > kLingerTime && stream_->Unsent() == 0) Drop();
+      break;
+    case State::kBusy:
+    case State::kStreaming:
+    case State::kClosed:
+      break;
+  }
+}
+
+ServerConnections::~ServerConnections() {
+  const auto connections = std::move(connections_);
+  connections_.clear();
+  for (const auto& connection : connections) connection->Abort();
+}
+
+void ServerConnections::Accept(int descriptor) {
+  connections_.insert(std::make_shared<ServerConnection>(descriptor, *this));
+}
+
+void ServerConnections::Check(Time now) {
+  const std::vector<ServerConnectionPtr> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) {
+    if (connection->IsOpen()) connection->Check(now);
+  }
+}
+
+void ServerConnections::CloseIdle() {
+  const std::vector<ServerConnectionPtr> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) {
+    if (connection->IsOpen()) connection->CloseIfIdle();
+  }
+}
+
+}  // namespace monsoonshelf::http
--- /dev/null
+++ b/src/http/internal/stream.cc
@@ -0,0 +1,250 @@
+#include "http/stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "http/socket_address.h"
+
+namespace monsoonshelf::http {
+
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+// Reads of one turn, so that one connection with a large body doesn't hold up the others.
+constexpr int kReadsPerTurn = 4;
+// Output that was sent is dropped from the front of the buffer in steps of this size.
+constexpr std::size_t kCompactBytes = std::size_t{256} * 1024;
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  // Options are improvements; a socket without one still works.
+  (void)setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+struct Stream::StreamSource {
+  GSource base_;
+  Stream* stream_;
+};
+
+Stream::Stream(int descriptor, IStreamHandler& handler)
+    : descriptor_(descriptor), handler_(handler) {}
+
+std::unique_ptr<Stream> Stream::Connect(const Address& address, IStreamHandler& handler,
+                                        const StreamOptions& options) {
+  const SocketAddress target = ToSocketAddress(address);
+  const int descriptor =
+      socket(target.Family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  std::unique_ptr<Stream> stream(new Stream(descriptor, handler));
+  if (descriptor < 0) {
+    stream->connect_error_ = errno;
+  } else {
+    stream->ApplyOptions(options);
+    if (connect(descriptor, target.Get(), target.length_) != 0 && errno != EINPROGRESS) {
+      stream->connect_error_ = errno;
+    }
+  }
+  stream->Attach();
+  return stream;
+}
+
+std::unique_ptr<Stream> Stream::Adopt(int descriptor, IStreamHandler& handler,
+                                      const StreamOptions& options) {
+  std::unique_ptr<Stream> stream(new Stream(descriptor, handler));
+  stream->connected_ = true;
+  stream->ApplyOptions(options);
+  stream->Attach();
+  return stream;
+}
+
+Stream::~Stream() {
+  *alive_ = false;
+  if (source_ != nullptr) {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+  }
+  if (descriptor_ >= 0) close(descriptor_);
+}
+
+void Stream::ApplyOptions(const StreamOptions& options) {
+  SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
+  if (options.keep_alive_.count() > 0) {
+    const auto seconds = std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::seconds>(options.keep_alive_).count());
+    SetOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, 1);
+    SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(seconds));
+    SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    SetOption(descriptor_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  }
+  if (options.user_timeout_.count() > 0) {
+    SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(options.user_timeout_.count() / 1000));
+  }
+}
+
+void Stream::Attach() {
+  static GSourceFuncs functions = {nullptr, nullptr, &Stream::Dispatch, nullptr, nullptr, nullptr};
+  source_ = g_source_new(&functions, sizeof(StreamSource));
+  reinterpret_cast<StreamSource*>(source_)->stream_ = this;
+  if (connect_error_ != 0) {
+    g_source_set_ready_time(source_, 0);  // Reports the error in the next turn.
+  } else {
+    tag_ = g_source_add_unix_fd(source_, descriptor_, connected_ ? G_IO_IN : G_IO_OUT);
+  }
+  g_source_attach(source_, g_main_context_get_thread_default());
+}
+
+void Stream::UpdateEvents() {
+  if (tag_ == nullptr || over_) return;
+  int events = 0;
+  if (!connected_) {
+    events = G_IO_OUT;
+  } else {
+    if (!paused_) events |= G_IO_IN;
+    if (Unsent() > 0) events |= G_IO_OUT;
+  }
+  g_source_modify_unix_fd(source_, tag_, static_cast<GIOCondition>(events));
+}
+
+gboolean Stream::Dispatch(GSource* source, GSourceFunc, gpointer) {
+  Stream* stream = reinterpret_cast<StreamSource*>(source)->stream_;
+  if (stream->connect_error_ != 0) {
+    stream->Report(Failure::kConnect);
+    return G_SOURCE_REMOVE;
+  }
+  const GIOCondition condition = g_source_query_unix_fd(source, stream->tag_);
+  if (!stream->connected_) {
+    if (!stream->FinishConnecting()) return G_SOURCE_CONTINUE;
+  }
+  if ((condition & G_IO_OUT) != 0 && stream->Unsent() > 0 && !stream->Flush()) {
+    return G_SOURCE_CONTINUE;
+  }
+  if ((condition & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0) stream->ReadAvailable();
+  return G_SOURCE_CONTINUE;
+}
+
+bool Stream::FinishConnecting() {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  if (getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length) != 0) error = errno;
+  if (error != 0) {
+    Report(Failure::kConnect);
+    return false;
+  }
+  connected_ = true;
+  const auto alive = alive_;
+  handler_.OnConnected();
+  if (!*alive) return false;
+  if (Unsent() > 0 && !Flush()) return false;
+  UpdateEvents();
+  return true;
+}
+
+bool Stream::ReadAvailable() {
+  static thread_local std::array<char, kReadBytes> buffer;
+  bool got_bytes = false;
+  Failure failure = Failure::kNone;
+  for (int i = 0; i < kReadsPerTurn; ++i) {
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+      if (!shut_down_) input_.append(buffer.data(), static_cast<std::size_t>(count));
+      got_bytes = true;
+      if (static_cast<std::size_t>(count) < buffer.size()) break;
+      continue;
+    }
+    if (count == 0) {
+      failure = Failure::kClosed;
+    } else if (errno != EAGAIN && errno != EINTR) {
+      failure = Failure::kReset;
+    }
+    break;
+  }
+  const auto alive = alive_;
+  if (got_bytes && !shut_down_) {
+    handler_.OnBytes();
+    if (!*alive) return false;
+  }
+  if (failure != Failure::kNone) {
+    Report(failure);
+    return false;
+  }
+  return true;
+}
+
+void Stream::Write(std::string_view bytes) {
+  if (over_ || write_ended_) return;
+  output_.append(bytes);
+  // An error of the send is reported by the next read, never from within Write.
+  if (connected_) {
+    Flush();
+    UpdateEvents();
+  }
+}
+
+bool Stream::Flush() {
+  while (Unsent() > 0) {
+    const ssize_t count = send(descriptor_, output_.data() + output_begin_, Unsent(), MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN) {
+        // The read side reports the loss in the next turn.
+        output_.clear();
+        output_begin_ = 0;
+        write_ended_ = true;
+      }
+      break;
+    }
+    bytes_sent_ += static_cast<std::uint64_t>(count);
+    output_begin_ += static_cast<std::size_t>(count);
+  }
+  if (Unsent() > 0) {
+    if (output_begin_ > kCompactBytes) {
+      output_.erase(0, output_begin_);
+      output_begin_ = 0;
+    }
+    return true;
+  }
+  output_.clear();
+  output_begin_ = 0;
+  if (shut_down_ && !write_ended_) {
+    write_ended_ = true;
+    ::shutdown(descriptor_, SHUT_WR);
+  }
+  UpdateEvents();
+  const auto alive = alive_;
+  handler_.OnWritten();
+  return *alive;
+}
+
+void Stream::PauseReading(bool paused) {
+  if (paused_ == paused) return;
+  paused_ = paused;
+  UpdateEvents();
+}
+
+void Stream::ShutDown() {
+  if (shut_down_ || over_) return;
+  shut_down_ = true;
+  input_.clear();
+  PauseReading(false);
+  if (Unsent() == 0 && !write_ended_) {
+    write_ended_ = true;
+    ::shutdown(descriptor_, SHUT_WR);
+  }
+}
+
+void Stream::Report(Failure failure) {
+  over_ = true;
+  g_source_destroy(source_);
+  handler_.OnClosed(failure);
+}
+
+}  // namespace monsoonshelf::http
--- /dev/null
+++ b/src/http/socket_address.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstring>
+
+#include "base/address.h"
+
+namespace monsoonshelf::http {
+
+struct SocketAddress {
+  sockaddr_storage storage_{};
+  socklen_t length_ = 0;
+  int Family() const { return storage_.ss_family; }
+  const sockaddr* Get() const { return reinterpret_cast<const sockaddr*>(&storage_); }
+};
+
+inline SocketAddress ToSocketAddress(const Address& address) {
+  SocketAddress result;
+  if (address.ipv6_) {
+    sockaddr_in6 value{};
+    value.sin6_family = AF_INET6;
+    value.sin6_port = htons(address.port_);
+    inet_pton(AF_INET6, address.ip_.c_str(), &value.sin6_addr);
+    std::memcpy(&result.storage_, &value, sizeof(value));
+    result.length_ = sizeof(value);
+  } else {
+    sockaddr_in value{};
+    value.sin_family = AF_INET;
+    value.sin_port = htons(address.port_);
+    inet_pton(AF_INET, address.ip_.c_str(), &value.sin_addr);
+    std::memcpy(&result.storage_, &value, sizeof(value));
+    result.length_ = sizeof(value);
+  }
+  return result;
+}
+
+}  // namespace monsoonshelf::http
--- a/src/entry/internal/lifecycle.cc
+++ b/src/lifecycle/internal/lifecycle.cc
@@ -1,11 +1,11 @@
-#include "entry/internal/lifecycle.h"
+#include "lifecycle/lifecycle.h"
 
 #include "embedded/lifecycle_chart.h"
 
-namespace monsoonshelf::entry {
+namespace monsoonshelf::lifecycle {
 
 Result<LifecycleMachine> LoadLifecycle() {
   return LifecycleMachine::Load(kLifecycleChart, kLifecycleStateNames, kLifecycleEventNames);
 }
 
-}  // namespace monsoonshelf::entry
+}  // namespace monsoonshelf::lifecycle
--- a/src/entry/internal/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -4,7 +4,7 @@
 #include "base/result.h"
 #include "statechart/machine.h"
 
-namespace monsoonshelf::entry {
+namespace monsoonshelf::lifecycle {
 
 enum class LifecycleState { kStarting, kServing, kLeaving, kDraining, kStopped };
 
@@ -28,7 +28,7 @@
 
 using LifecycleMachine = statechart::Machine<LifecycleState, 5, LifecycleEvent, 5>;
 
-// Loads src/entry/lifecycle.chart.toml, which is embedded. Error: kChartInvalid, kChartSyntax.
+// Loads src/lifecycle/lifecycle.chart.toml, which is embedded. Error: kChartInvalid, kChartSyntax.
 Result<LifecycleMachine> LoadLifecycle();
 
-}  // namespace monsoonshelf::entry
+}  // namespace monsoonshelf::lifecycle
--- a/src/platform/internal/answer.cc
+++ b/src/store/internal/answer.cc
@@ -1,11 +1,11 @@
-#include "platform/internal/answer.h"
+#include "store/internal/answer.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "platform/platform_types.h"
+#include "store/platform_types.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 namespace {
 
@@ -204,4 +204,4 @@
   return {request.id_, request.operation_, ResultCode::kPlatformInvalidAnswer, {}, 0, {}};
 }
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/internal/answer.h
+++ b/src/store/internal/answer.h
@@ -6,7 +6,7 @@
 
 #include "coordination/coordination_types.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 // Largest response. A listing of the design scale (68 services, 1,100 targets) is below 1 MiB.
 inline constexpr std::size_t kMaxAnswerBytes = 16 << 20;
@@ -26,4 +26,4 @@
 coordination::PlatformReply ReadAnswer(const coordination::PlatformRequest& request, int status,
                                        std::string_view body);
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/internal/call_budget.h
+++ b/src/store/internal/call_budget.h
@@ -4,7 +4,7 @@
 
 #include "base/base_types.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 // Token bucket for calls.
 struct CallBudget {
@@ -23,4 +23,4 @@
   return true;
 }
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/internal/platform_setup.cc
+++ b/src/store/internal/platform_setup.cc
@@ -1,9 +1,9 @@
-#include "platform/platform_setup.h"
+#include "store/platform_setup.h"
 
 #include "base/address.h"
-#include "platform/internal/soup_client.h"
+#include "store/internal/soup_client.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 Result<std::unique_ptr<IPlatformClient>> MakeClient(ClientSettings settings) {
   const auto address = ParseAddress(settings.address_);
@@ -14,4 +14,4 @@
   return std::unique_ptr<IPlatformClient>(new detail::SoupClient(std::move(settings)));
 }
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/internal/soup_client.cc
+++ b/src/store/internal/soup_client.cc
@@ -1,11 +1,11 @@
-#include "platform/internal/soup_client.h"
+#include "store/internal/soup_client.h"
 
 #include <string>
 #include <utility>
 
 #include "base/clock.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 namespace {
 
@@ -241,4 +241,4 @@
   callback(reply);  // May destroy the client.
 }
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/internal/soup_client.h
+++ b/src/store/internal/soup_client.h
@@ -5,12 +5,12 @@
 #include <list>
 #include <memory>
 
-#include "platform/internal/answer.h"
-#include "platform/internal/call_budget.h"
-#include "platform/iplatform_client.h"
-#include "platform/platform_types.h"
+#include "store/internal/answer.h"
+#include "store/internal/call_budget.h"
+#include "store/iplatform_client.h"
+#include "store/platform_types.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 struct GObjectDeleter {
   void operator()(void* object) const { g_object_unref(object); }
@@ -59,4 +59,4 @@
   std::list<CallPtr> calls_;
 };
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/internal/sync_client.cc
+++ b/src/store/internal/sync_client.cc
@@ -3,9 +3,9 @@
 #include <optional>
 #include <utility>
 
-#include "platform/platform_setup.h"
+#include "store/platform_setup.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 namespace {
 
@@ -121,4 +121,4 @@
 
 const PlatformObject& SyncClient::LastConflict() const { return impl_->conflict_; }
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/iplatform_client.h
+++ b/src/store/iplatform_client.h
@@ -3,9 +3,9 @@
 #include <functional>
 
 #include "coordination/coordination_types.h"
-#include "platform/platform_types.h"
+#include "store/platform_types.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 // Access to the platform's object API. Belongs to one task: calls and callbacks are on its thread.
 class IPlatformClient {
@@ -23,4 +23,4 @@
   virtual const ClientCounters& Counters() const = 0;
 };
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/platform_setup.h
+++ b/src/store/platform_setup.h
@@ -6,10 +6,10 @@
 
 #include "base/result.h"
 #include "coordination/coordination_types.h"
-#include "platform/iplatform_client.h"
-#include "platform/platform_types.h"
+#include "store/iplatform_client.h"
+#include "store/platform_types.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 // Makes a client that runs on the thread-default main context of the calling thread.
 // Error: kSettingsInvalidValue if the address is not an IP address with a port.
@@ -55,4 +55,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/platform_types.h
+++ b/src/store/platform_types.h
@@ -5,7 +5,7 @@
 
 #include "base/base_types.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 // Largest body that the platform accepts.
 inline constexpr std::size_t kMaxObjectBytes = 1 << 20;
@@ -26,4 +26,4 @@
   std::uint64_t bytes_in_ = 0;
 };
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/tests/answer_test.cc
+++ b/src/store/tests/answer_test.cc
@@ -1,13 +1,13 @@
-#include "platform/internal/answer.h"
+#include "store/internal/answer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
 #include <cstdlib>
 
-#include "platform/platform_types.h"
+#include "store/platform_types.h"
 
-namespace monsoonshelf::platform::detail {
+namespace monsoonshelf::store::detail {
 
 using coordination::PlatformOperation;
 using coordination::PlatformRequest;
@@ -122,4 +122,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerTest);
 
-}  // namespace monsoonshelf::platform::detail
+}  // namespace monsoonshelf::store::detail
--- a/src/platform/tests/broken_platform_test.cc
+++ b/src/store/tests/broken_platform_test.cc
@@ -5,10 +5,10 @@
 #include <optional>
 #include <string>
 
-#include "platform/internal/answer.h"
-#include "platform/platform_setup.h"
+#include "store/internal/answer.h"
+#include "store/platform_setup.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 using coordination::PlatformOperation;
 using coordination::PlatformReply;
@@ -169,4 +169,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenPlatformTest);
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/src/platform/tests/client_test.cc
+++ b/src/store/tests/client_test.cc
@@ -5,10 +5,10 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/platform_setup.h"
+#include "store/platform_setup.h"
 #include "tests/standins/platform_server.h"
 
-namespace monsoonshelf::platform {
+namespace monsoonshelf::store {
 
 using coordination::PlatformOperation;
 using coordination::PlatformReply;
@@ -303,4 +303,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
 
-}  // namespace monsoonshelf::platform
+}  // namespace monsoonshelf::store
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "base/enum_names.h"
-#include "platform/platform_types.h"
+#include "store/platform_types.h"
 
 namespace monsoonshelf::standins {
 
@@ -218,7 +218,7 @@
   SoupMessageBody* request = soup_server_message_get_request_body(message);
   std::string body(request->data == nullptr ? "" : request->data,
                    static_cast<std::size_t>(request->length));
-  if (body.size() > platform::kMaxObjectBytes) return Respond(message, 413, "{}");
+  if (body.size() > store::kMaxObjectBytes) return Respond(message, 413, "{}");
   if (g_utf8_validate(body.data(), static_cast<gssize>(body.size()), nullptr) == FALSE) {
     return Respond(message, 400, R"({"error":"the body is not UTF-8"})");
   }
