--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -59,8 +59,8 @@
 
 // A file that can't be read or is invalid leaves the last good settings in effect.
 void ReloadSettings(ServingHost& host, const char* cause) {
-  const auto read = Capture<std::string>(
-      [&host] { return ReadFile(host.settings_path_, kMaxSettingsBytes); });
+  const auto read =
+      Capture<std::string>([&host] { return ReadFile(host.settings_path_, kMaxSettingsBytes); });
   if (!read.value_) {
     logging::LogEvent(LogLevel::kError, "settings_rejected", {{"error", read.error_.message_}});
     return;
@@ -102,7 +102,7 @@
   BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
   BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
   BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
-  BOOST_LEAF_CHECK(logging::SetUpLogging({}, settings.name_));
+  BOOST_LEAF_CHECK(logging::SetUpLogging({LogLevel::kInfo, {}, true}, settings.name_));
   logging::LogEvent(LogLevel::kInfo, "start",
                     {{"version", MONSOONSHELF_VERSION},
                      {"zone", settings.zone_},
@@ -112,8 +112,8 @@
   host.store_ = std::make_unique<platform::ObjectStore>(*ParseAddress(settings.store_address_));
   const auto incarnation = static_cast<Incarnation>(WallMicroseconds());
   BOOST_LEAF_ASSIGN(host.gateway_,
-                    gateway::StartGateway(settings, host.format_, host.record_format_, *host.store_, incarnation,
-                                          std::random_device()() ^ incarnation));
+                    gateway::StartGateway(settings, host.format_, host.record_format_, *host.store_,
+                                          incarnation, std::random_device()() ^ incarnation));
   host.settings_timer_ = std::make_unique<eventloop::Timer>(nullptr, [&host] {
     ReloadSettings(host, "file");
     host.settings_timer_->Set(Now() + kSettingsCheckInterval);
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -49,8 +49,8 @@
 struct ServiceSpec {
   std::string name_;
   std::string health_path_ = "/healthz";
-  int max_connections_ = 64;     // Of one target, from all entry hosts together.
-  double cold_rate_ = 1;         // Requests per second that a cold target bears.
+  int max_connections_ = 64;  // Of one target, from all entry hosts together.
+  double cold_rate_ = 1;      // Requests per second that a cold target bears.
 };
 
 struct Configuration {
@@ -81,8 +81,8 @@
 struct HostRecord {
   HostName name_;
   std::string zone_;
-  std::string front_address_;  // For callers.
-  std::string peer_address_;   // For datagrams of other entry hosts.
+  std::string front_address_;    // For callers.
+  std::string peer_address_;     // For datagrams of other entry hosts.
   std::string control_address_;  // Where other entry hosts read records.
   Incarnation incarnation_ = 0;
 };
@@ -118,7 +118,7 @@
   double retry_ratio_ = 0.2;  // Repeated sends per request of a service.
   double retry_extra_ = 10;   // Repeated sends of a service per window beyond the ratio.
   Duration retry_window_ = std::chrono::seconds(10);
-  double cold_factor_ = 1;    // Allowed sends to a cold target: rate * factor + slack in a second.
+  double cold_factor_ = 1;  // Allowed sends to a cold target: rate * factor + slack in a second.
   double cold_slack_ = 0;
   Duration stop_time_ = std::chrono::seconds(6);  // From SIGTERM to the end of the process.
   Duration max_directory_ttl_ = std::chrono::seconds(5);
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -28,7 +28,8 @@
   const int slots = std::max(1, best.load_ ? best.load_->slots_ : best.slots_);
   const int waiting = best.load_ ? best.load_->waiting_ : 0;
   Admission admission;
-  admission.admitted_ = expected < time_left && waiting < kMaxWaitingPerSlot * slots;
+  const bool in_time = !inputs.work_known_ || expected < time_left;
+  admission.admitted_ = in_time && waiting < kMaxWaitingPerSlot * slots;
   if (!admission.admitted_) {
     // One slot gets free each work time divided by the slots; the queue drains at that rate.
     const Duration drain = Scale(inputs.work_, static_cast<double>(waiting + 1) / slots);
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -25,6 +25,8 @@
 // Answers up to this size are passed on when they are complete, so that a broken one can be
 // replaced by another target's. Larger ones are streamed.
 constexpr std::size_t kMaxWholeAnswer = std::size_t{1} << 20;
+// Answers after which the usual time of a request counts as known.
+constexpr int kMinSamples = 5;
 // Unsent bytes of a streamed answer above which the target is no longer read.
 constexpr std::size_t kMaxUnsent = std::size_t{512} * 1024;
 
@@ -173,7 +175,10 @@
 
 PlacementInputs Call::Inputs() const {
   PlacementInputs inputs;
-  inputs.work_ = state_.services_.at(service_).work_.mean_;
+  const WorkEstimate& work =
+      state_.services_.at(service_).work_[static_cast<std::size_t>(route_->kind_)];
+  inputs.work_ = work.mean_;
+  inputs.work_known_ = work.samples_ >= kMinSamples;
   inputs.cross_zone_delay_ = kCrossZoneDelay;
   inputs.large_answer_ = route_->kind_ == RequestKind::kDownload;
   return inputs;
@@ -404,7 +409,7 @@
   }
   if (attempt.IsUsable()) {
     CountSuccess(attempt.target_->health_, now);
-    LearnWork(Service(), taken, attempt.slowness_);
+    LearnWork(Service().work_[static_cast<std::size_t>(route_->kind_)], taken, attempt.slowness_);
     state_.metrics_.CountSend(service_, "answered");
     return DeliverAnswer(attempt);
   }
@@ -466,9 +471,8 @@
 }
 
 void Call::RemoveAttempt(Attempt& attempt) {
-  const auto found =
-      std::find_if(attempts_.begin(), attempts_.end(),
-                   [&attempt](const auto& item) { return item.get() == &attempt; });
+  const auto found = std::find_if(attempts_.begin(), attempts_.end(),
+                                  [&attempt](const auto& item) { return item.get() == &attempt; });
   if (found == attempts_.end()) return;
   --attempt.target_->in_flight_;
   state_.pool_.Release(attempt.connection_);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -71,7 +71,8 @@
 class GatewayHost : public Gateway, private http::IServerHandler, private ICallOwner {
  public:
   GatewayHost(const GatewaySettings& settings, const ICallFormat& format,
-              const IRecordFormat& record_format, IRecordStore& store, Incarnation incarnation, std::uint64_t seed)
+              const IRecordFormat& record_format, IRecordStore& store, Incarnation incarnation,
+              std::uint64_t seed)
       : settings_(settings),
         state_(settings_, format, seed),
         front_(*this),
@@ -88,8 +89,12 @@
         records_([this](const auto& connection, const auto& request) {
           sync_.Server().OnRequest(connection, request);
         }),
-        self_{settings_.name_,         settings_.zone_,            settings_.front_address_,
-              settings_.peer_address_, settings_.control_address_, incarnation},
+        self_{settings_.name_,
+              settings_.zone_,
+              settings_.front_address_,
+              settings_.peer_address_,
+              settings_.control_address_,
+              incarnation},
         sync_(
             store, record_format, state_, self_, [this] { OnStateChanged(); },
             [this](const HostRecord& host) { LearnPeer(peers_, host); }),
@@ -97,9 +102,7 @@
     peers_.self_ = self_;
     state_.zone_hosts_ = {settings_.name_};
     state_.on_target_failed_ = [this](const TargetId& target) { TellFailure(target); };
-    records_.on_gone_ = [this](const auto& connection) {
-      sync_.Server().OnCallerGone(connection);
-    };
+    records_.on_gone_ = [this](const auto& connection) { sync_.Server().OnCallerGone(connection); };
     front_.SetMaxBufferedBytes(
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
   }
@@ -108,17 +111,15 @@
     BOOST_LEAF_ASSIGN(machine_, lifecycle::LoadLifecycle());
     lifecycle_ = machine_.Initial();
     BOOST_LEAF_ASSIGN(front_listener_,
-                      http::Listener::Open(settings_.front_address_, [this](int descriptor) {
-                        front_.Accept(descriptor);
-                      }));
+                      http::Listener::Open(settings_.front_address_,
+                                           [this](int descriptor) { front_.Accept(descriptor); }));
     BOOST_LEAF_CHECK(directory_.Listen(settings_.directory_address_));
     BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness_address_));
     BOOST_LEAF_CHECK(metrics_.Listen(settings_.metrics_address_));
     BOOST_LEAF_CHECK(records_.Listen(settings_.control_address_));
     BOOST_LEAF_ASSIGN(peer_socket_,
-                      PeerSocket::Open(settings_.peer_address_, [this](std::string_view bytes) {
-                        OnDatagram(bytes);
-                      }));
+                      PeerSocket::Open(settings_.peer_address_,
+                                       [this](std::string_view bytes) { OnDatagram(bytes); }));
     sync_.Start();
     tick_.Set(Now() + kTickInterval);
     return {};
@@ -164,9 +165,10 @@
         break;
       case LifecycleState::kStopped:
         if (AtTargets() > 0) {
-          logging::LogEvent(logging::LogLevel::kError, "stop_cut_calls",
-                            {{"calls", std::to_string(AtTargets())},
-                             {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
+          logging::LogEvent(
+              logging::LogLevel::kError, "stop_cut_calls",
+              {{"calls", std::to_string(AtTargets())},
+               {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
         }
         break;
     }
@@ -193,6 +195,7 @@
   void OnTick() {
     const Time now = Now();
     retired_.clear();
+    logging::FlushLog();
     ExpireProbes(now);
     front_.Check(now);
     directory_.connections_.Check(now);
@@ -252,9 +255,8 @@
     state_.metrics_.SetGauge("store_age_seconds",
                              std::chrono::duration<double>(now - sync_.Confirmed()).count());
     if (state_.configuration_ != nullptr) {
-      state_.metrics_.SetGauge(
-          "config_version",
-          static_cast<double>(state_.configuration_->configuration_.version_));
+      state_.metrics_.SetGauge("config_version",
+                               static_cast<double>(state_.configuration_->configuration_.version_));
     }
   }
 
@@ -311,8 +313,7 @@
     if (!query) {
       return connection->Respond(404, {{"Content-Type", "text/plain"}}, "no such resource");
     }
-    const std::vector<std::string> addresses =
-        DirectoryAddresses(peers_, IsServing(), Now());
+    const std::vector<std::string> addresses = DirectoryAddresses(peers_, IsServing(), Now());
     if (addresses.empty()) {
       return connection->Respond(503, {{"Content-Type", "text/plain"}}, "no entry host is ready");
     }
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -17,9 +17,8 @@
 using HistogramFamily = prometheus::Family<prometheus::Histogram>;
 
 // Seconds. Covers answers from a few milliseconds to the longest deadlines of the users.
-const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3,
-                                                          0.4,   0.6,  0.8,  1.2,  2,   3,   5,
-                                                          10};
+const prometheus::Histogram::BucketBoundaries kSeconds = {
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 10};
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -32,13 +31,16 @@
       : requests_(Counter("monsoonshelf_gateway_requests_total", "Requests by outcome", labels)),
         sends_(Counter("monsoonshelf_gateway_sends_total", "Sends to targets by result", labels)),
         repeats_(Counter("monsoonshelf_gateway_repeats_total", "Repeated sends", labels)),
-        cold_sends_(Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
+        cold_sends_(
+            Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
         probes_(Counter("monsoonshelf_gateway_probes_total", "Health requests by result", labels)),
-        store_calls_(Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
+        store_calls_(
+            Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
         directory_(
             Counter("monsoonshelf_gateway_directory_queries_total", "Directory answers", labels)),
         total_(Histogram("monsoonshelf_gateway_request_seconds", "From request to answer", labels)),
-        waiting_(Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
+        waiting_(
+            Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
         at_target_(Histogram("monsoonshelf_gateway_target_seconds", "At the target", labels)),
         gauges_(prometheus::BuildGauge()
                     .Name("monsoonshelf_gateway_state")
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -140,10 +140,9 @@
   target.cold_.cold_until_ = std::max(target.cold_.cold_until_, now + cold_left);
 }
 
-void LearnWork(ServiceState& service, Duration taken, double slowness) {
+void LearnWork(WorkEstimate& work, Duration taken, double slowness) {
   // The first samples count for more, so that the estimate follows a new service at once.
   constexpr int kWindow = 30;
-  WorkEstimate& work = service.work_;
   work.samples_ = std::min(work.samples_ + 1, kWindow);
   const Duration usual = std::chrono::duration_cast<Duration>(taken / std::max(slowness, 0.5));
   work.mean_ += (usual - work.mean_) / work.samples_;
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,10 +31,10 @@
   Address address_;
   TargetHealth health_;
   ColdState cold_;
-  int in_flight_ = 0;        // Requests of this entry host.
+  int in_flight_ = 0;           // Requests of this entry host.
   std::uint64_t affinity_ = 0;  // Rank among the targets that this host prefers, lowest first.
-  bool misdirected_ = false;  // Another target answers at its address.
-  bool removed_ = false;      // No longer registered.
+  bool misdirected_ = false;    // Another target answers at its address.
+  bool removed_ = false;        // No longer registered.
   // Removed from the store while that was disturbed: it may be registered again until then.
   Time removal_due_ = Time::max();
 };
@@ -48,7 +49,7 @@
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
-  WorkEstimate work_;
+  std::array<WorkEstimate, kRequestKindNames.size()> work_;  // By kind of request.
 };
 
 // What the requests of one entry host share. Only the thread of the gateway touches it.
@@ -91,6 +92,6 @@
 std::size_t MaxConnections(const GatewayState& state, const TargetState& target);
 const ServiceSpec& SpecOf(const GatewayState& state, const std::string& service);
 void LearnCold(TargetState& target, Duration cold_left, Time now);
-void LearnWork(ServiceState& service, Duration taken, double slowness);
+void LearnWork(WorkEstimate& work, Duration taken, double slowness);
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/limits.cc
+++ b/src/gateway/internal/limits.cc
@@ -31,16 +31,16 @@
   const double windows = std::chrono::duration<double>(now - budget.filled_) /
                          std::chrono::duration<double>(bounds.retry_window_);
   budget.filled_ = now;
-  budget.tokens_ = std::min(Capacity(bounds, hosts),
-                            budget.tokens_ + windows * ExtraPerHost(bounds, hosts));
+  budget.tokens_ =
+      std::min(Capacity(bounds, hosts), budget.tokens_ + windows * ExtraPerHost(bounds, hosts));
 }
 
 }  // namespace
 
 void FillRetryBudget(RetryBudget& budget, const FleetBounds& bounds, std::size_t hosts, Time now) {
   Refill(budget, bounds, hosts, now);
-  budget.tokens_ = std::min(budget.tokens_ + kUsedRatio * bounds.retry_ratio_,
-                            Capacity(bounds, hosts) + 1);
+  budget.tokens_ =
+      std::min(budget.tokens_ + kUsedRatio * bounds.retry_ratio_, Capacity(bounds, hosts) + 1);
 }
 
 bool HasRetry(RetryBudget& budget, const FleetBounds& bounds, std::size_t hosts, Time now) {
--- a/src/gateway/internal/placement.cc
+++ b/src/gateway/internal/placement.cc
@@ -73,15 +73,14 @@
 std::vector<std::size_t> PickProbes(std::vector<Candidate> candidates, std::size_t count,
                                     Random& random) {
   std::shuffle(candidates.begin(), candidates.end(), random);
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& left, const Candidate& right) {
-                     const auto key = [](const Candidate& candidate) {
-                       return std::tuple(Rank(candidate),
-                                         candidate.own_in_flight_ >= candidate.slots_,
-                                         !candidate.preferred_);
-                     };
-                     return key(left) < key(right);
-                   });
+  std::stable_sort(
+      candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        const auto key = [](const Candidate& candidate) {
+          return std::tuple(Rank(candidate), candidate.own_in_flight_ >= candidate.slots_,
+                            !candidate.preferred_);
+        };
+        return key(left) < key(right);
+      });
   std::vector<std::size_t> picked;
   for (const Candidate& candidate : candidates) {
     if (picked.size() == count) break;
--- a/src/gateway/internal/zone_peers.cc
+++ b/src/gateway/internal/zone_peers.cc
@@ -60,8 +60,7 @@
   const auto type = ValueOf(kPeerMessageTypeNames, text("type").value_or(""));
   const auto incarnation = body.find("incarnation");
   if (!type || !text("name") || !text("zone") || !text("front") || !text("peer") ||
-      !text("control") ||
-      incarnation == body.end() || !incarnation->is_number_unsigned()) {
+      !text("control") || incarnation == body.end() || !incarnation->is_number_unsigned()) {
     return std::nullopt;
   }
   PeerMessage message;
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -12,12 +12,12 @@
 
 enum class StoreStatus {
   kOk,
-  kUnreachable,   // No answer: not connected, lost or timed out. A write may have been applied.
-  kRefused,       // The store refused the call; nothing was done.
-  kHistoryGone,   // The revision to watch from is no longer kept.
-  kConflict,      // The object exists or has changed.
+  kUnreachable,  // No answer: not connected, lost or timed out. A write may have been applied.
+  kRefused,      // The store refused the call; nothing was done.
+  kHistoryGone,  // The revision to watch from is no longer kept.
+  kConflict,     // The object exists or has changed.
   kNotFound,
-  kInvalid,       // The answer can't be read.
+  kInvalid,  // The answer can't be read.
 };
 
 inline constexpr EnumNames<StoreStatus, 7> kStoreStatusNames = {{
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -24,7 +24,8 @@
 };
 
 struct PlacementInputs {
-  Duration work_{};            // Usual time of one request of the service on an idle target.
+  Duration work_{};              // Usual time of one request of the service on an idle target.
+  bool work_known_ = true;       // Otherwise it is a guess.
   Duration cross_zone_delay_{};  // Added by a round trip to another zone.
   bool large_answer_ = false;    // Costs a lot between zones.
 };
--- a/src/gateway/reader_choice.h
+++ b/src/gateway/reader_choice.h
@@ -12,7 +12,7 @@
 
 struct ReaderCandidate {
   HostName name_;
-  std::string address_;        // Where its records are read.
+  std::string address_;  // Where its records are read.
   bool reaches_store_ = false;
 };
 
--- a/src/gateway/record_cache.h
+++ b/src/gateway/record_cache.h
@@ -26,7 +26,8 @@
 };
 
 // Replaces the content; the differences become changes, so that readers learn only those.
-void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records, Revision revision);
+void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records,
+                    Revision revision);
 // Applies events up to `revision`.
 void ApplyEvents(RecordCache& cache, const std::vector<StoreEvent>& events, Revision revision);
 // Latest state of each record that changed after a revision; nothing if that is too long ago.
--- a/src/gateway/routing.h
+++ b/src/gateway/routing.h
@@ -25,7 +25,7 @@
 // Deals the requests of split routes to their services. Each route follows a low-discrepancy
 // sequence, so that the parts match the weights also after few requests.
 struct SplitState {
-  double offset_ = 0;  // Differs between entry hosts.
+  double offset_ = 0;                                     // Differs between entry hosts.
   std::unordered_map<std::string, std::uint64_t> dealt_;  // By route name.
 };
 
--- a/src/gateway/target_health.h
+++ b/src/gateway/target_health.h
@@ -6,9 +6,9 @@
 
 // What the results of requests say about one target, here or at other entry hosts of the zone.
 struct TargetHealth {
-  int level_ = 0;          // Failures that weren't made up for by successes.
-  Time counted_{};         // When the level was last raised.
-  Time ejected_until_{};   // Until then the target is used only if nothing else is left.
+  int level_ = 0;              // Failures that weren't made up for by successes.
+  Time counted_{};             // When the level was last raised.
+  Time ejected_until_{};       // Until then the target is used only if nothing else is left.
   Time unresponsive_until_{};  // A probe went unanswered.
   bool reports_ill_ = false;   // Its last health answer was negative.
 };
--- /dev/null
+++ b/src/gateway/tests/mocks/fake_format.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <string>
+
+#include "gateway/icall_format.h"
+#include "http/message_writer.h"
+
+namespace monsoonshelf::gateway::tests {
+
+// The least format that carries everything the gateway needs.
+class FakeFormat : public ICallFormat {
+ public:
+  CallInfo ReadCall(const http::RequestHead& head) const override {
+    CallInfo info;
+    if (const auto* id = http::FindHeader(head.headers_, "Id")) info.id_ = *id;
+    if (const auto* left = http::FindHeader(head.headers_, "Left-Ms")) {
+      info.time_left_ = std::chrono::milliseconds(std::stoi(*left));
+    }
+    return info;
+  }
+  std::string WriteTargetRequest(const http::RequestHead& head, std::string_view body,
+                                 const TargetId& target, Duration time_left) const override {
+    http::Headers headers = head.headers_;
+    http::RemoveConnectionHeaders(headers);
+    http::RemoveHeader(headers, "Content-Length");
+    http::RemoveHeader(headers, "Left-Ms");
+    headers.emplace_back("Left-Ms", std::to_string(time_left.count() / 1000));
+    headers.emplace_back("Target", target);
+    return http::FormatRequest(head.method_, head.target_, headers, body);
+  }
+  TargetAnswer ReadTargetAnswer(const http::ResponseHead& head) const override {
+    TargetAnswer answer;
+    if (const auto* id = http::FindHeader(head.headers_, "Id")) answer.call_id_ = *id;
+    answer.is_signed_ = http::FindHeader(head.headers_, "Signed") != nullptr;
+    answer.not_run_ = http::FindHeader(head.headers_, "Not-Run") != nullptr;
+    answer.misdirected_ = head.status_ == 421;
+    answer.is_encoded_ = http::FindHeader(head.headers_, "Content-Encoding") != nullptr;
+    return answer;
+  }
+  http::Headers CallerHeaders(const http::ResponseHead& head) const override {
+    http::Headers headers = head.headers_;
+    http::RemoveConnectionHeaders(headers);
+    http::RemoveHeader(headers, "Content-Length");
+    return headers;
+  }
+  http::Headers OwnHeaders(const std::string& call_id) const override { return {{"Id", call_id}}; }
+  std::string WriteProbe(const std::string& address, const std::string& path) const override {
+    return http::FormatRequest("GET", path, {{"Host", address}}, {});
+  }
+  ProbeAnswer ReadProbeAnswer(const http::ResponseHead& head) const override {
+    ProbeAnswer answer;
+    answer.healthy_ = head.status_ == 200;
+    if (const auto* target = http::FindHeader(head.headers_, "Target")) answer.target_ = *target;
+    if (const auto* running = http::FindHeader(head.headers_, "Running")) {
+      answer.load_ = TargetLoad{std::stoi(*running), 0, 2, 100};
+    }
+    if (const auto* cold = http::FindHeader(head.headers_, "Cold-Ms")) {
+      answer.cold_left_ = std::chrono::milliseconds(std::stoi(*cold));
+    }
+    return answer;
+  }
+  bool IsReadinessQuery(const http::RequestHead& head) const override {
+    return head.target_ == "/ready";
+  }
+  std::optional<DirectoryQuery> ReadDirectoryQuery(const http::RequestHead& head) const override {
+    if (head.target_ != "/directory") return std::nullopt;
+    return DirectoryQuery{};
+  }
+  std::string WriteDirectory(const std::vector<std::string>& addresses,
+                             Duration /*time_to_live*/) const override {
+    std::string text;
+    for (const std::string& address : addresses) text += address + " ";
+    return text;
+  }
+};
+
+}  // namespace monsoonshelf::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <glib.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/irecord_store.h"
+
+namespace monsoonshelf::gateway::tests {
+
+// A store in memory. Answers come from the main context, as those of the real one do.
+class MockRecordStore : public IRecordStore {
+ public:
+  struct ListCall {
+    RecordKind kind_;
+    Consistency consistency_;
+  };
+
+  void Put(RecordKind kind, StoredRecord record) {
+    record.revision_ = ++revision_;
+    if (record.text_.empty()) record.text_ = record.name_;
+    records_[kind][record.name_] = record;
+    changes_.push_back({kind, {record, false}});
+    Wake();
+  }
+  void Delete(RecordKind kind, const std::string& name) {
+    ++revision_;
+    StoredRecord record;
+    record.name_ = name;
+    record.revision_ = revision_;
+    records_[kind].erase(name);
+    changes_.push_back({kind, {record, true}});
+    Wake();
+  }
+  // Drops all history without waking watches.
+  void Compact() { history_begin_ = revision_; }
+  // Answers waiting watches: with what happened, or with their end.
+  void Wake() {
+    if (deaf_) return;
+    auto watches = std::move(watches_);
+    watches_.clear();
+    for (auto& [kind, watch] : watches) Answer(kind, std::move(watch));
+  }
+  // Whether so many watches wait, with nothing to tell them.
+  bool HasWaiting(std::size_t count) const { return watches_.size() >= count; }
+  // Ends waiting watches as their wait does.
+  void EndWaits() {
+    auto watches = std::move(watches_);
+    watches_.clear();
+    for (auto& [kind, watch] : watches)
+      Reply(std::move(watch.callback_), EventsFor(kind, watch.after_));
+  }
+
+  void List(RecordKind kind, const std::string& /*after*/, Consistency consistency,
+            Duration /*timeout*/, PageCallback callback) override {
+    lists_.push_back({kind, consistency});
+    StorePage page;
+    page.status_ = status_;
+    if (status_ == StoreStatus::kOk) {
+      const auto& source = consistency == Consistency::kStale && stale_ ? *stale_ : records_;
+      const auto found = source.find(kind);
+      if (found != source.end()) {
+        for (const auto& [name, record] : found->second) page.records_.push_back(record);
+      }
+      page.revision_ = consistency == Consistency::kStale && stale_ ? stale_revision_ : revision_;
+    }
+    Reply(std::move(callback), page);
+  }
+
+  void Watch(RecordKind kind, Revision revision, Duration /*wait*/, Duration /*timeout*/,
+             EventsCallback callback) override {
+    ++watch_calls_;
+    Answer(kind, {revision, std::move(callback)});
+  }
+
+  void CreateHost(const HostRecord& host, Duration /*timeout*/, WriteCallback callback) override {
+    ++writes_;
+    if (status_ != StoreStatus::kOk) return Reply(std::move(callback), StoreWrite{status_, 0});
+    if (records_[RecordKind::kHost].contains(host.name_)) {
+      const Revision present = records_[RecordKind::kHost][host.name_].revision_;
+      return Reply(std::move(callback), StoreWrite{StoreStatus::kConflict, present});
+    }
+    Put(RecordKind::kHost, {host.name_, 0, host, {}, {}});
+    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_});
+  }
+  void ReplaceHost(const HostRecord& host, Revision /*expected*/, Duration /*timeout*/,
+                   WriteCallback callback) override {
+    ++writes_;
+    if (status_ != StoreStatus::kOk) return Reply(std::move(callback), StoreWrite{status_, 0});
+    Put(RecordKind::kHost, {host.name_, 0, host, {}, {}});
+    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_});
+  }
+
+  using Records = std::map<RecordKind, std::map<std::string, StoredRecord>>;
+  Records records_;
+  std::optional<Records> stale_;  // What stale lists return.
+  Revision stale_revision_ = 0;
+  Revision revision_ = 1;
+  Revision history_begin_ = 0;
+  StoreStatus status_ = StoreStatus::kOk;
+  bool deaf_ = false;  // Watches hear nothing.
+  std::vector<ListCall> lists_;
+  int watch_calls_ = 0;
+  int writes_ = 0;
+
+ private:
+  struct Waiting {
+    Revision after_;
+    EventsCallback callback_;
+  };
+
+  StoreEvents EventsFor(RecordKind kind, Revision after) const {
+    StoreEvents events;
+    events.status_ = status_;
+    if (status_ != StoreStatus::kOk) return events;
+    if (after < history_begin_) {
+      events.status_ = StoreStatus::kHistoryGone;
+      return events;
+    }
+    for (const auto& [changed, event] : changes_) {
+      if (changed == kind && event.record_.revision_ > after) events.events_.push_back(event);
+    }
+    events.revision_ = revision_;
+    return events;
+  }
+
+  void Answer(RecordKind kind, Waiting watch) {
+    StoreEvents events = EventsFor(kind, watch.after_);
+    if (events.status_ == StoreStatus::kOk && (events.events_.empty() || deaf_)) {
+      watches_.emplace_back(kind, std::move(watch));
+      return;
+    }
+    Reply(std::move(watch.callback_), std::move(events));
+  }
+
+  template <typename Callback, typename Value>
+  void Reply(Callback callback, Value value) {
+    auto* call = new std::function<void()>(
+        [callback = std::move(callback), value = std::move(value)] { callback(value); });
+    GSource* source = g_idle_source_new();
+    g_source_set_priority(source, G_PRIORITY_DEFAULT);
+    g_source_set_callback(
+        source,
+        [](gpointer data) -> gboolean {
+          (*static_cast<std::function<void()>*>(data))();
+          return G_SOURCE_REMOVE;
+        },
+        call, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+    g_source_attach(source, g_main_context_get_thread_default());
+    g_source_unref(source);
+  }
+
+  std::deque<std::pair<RecordKind, StoreEvent>> changes_;
+  std::vector<std::pair<RecordKind, Waiting>> watches_;
+};
+
+}  // namespace monsoonshelf::gateway::tests
--- a/src/gateway/zone_peers.h
+++ b/src/gateway/zone_peers.h
@@ -28,9 +28,9 @@
 struct PeerMessage {
   PeerMessageType type_ = PeerMessageType::kPing;
   HostRecord sender_;
-  bool serving_ = false;         // The sender takes callers.
-  bool reaches_store_ = false;   // Its last call to the store succeeded.
-  TargetId target_;       // kTargetFailed.
+  bool serving_ = false;        // The sender takes callers.
+  bool reaches_store_ = false;  // Its last call to the store succeeded.
+  TargetId target_;             // kTargetFailed.
 };
 
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/src/http/internal/headers.cc
+++ b/src/http/internal/headers.cc
@@ -37,9 +37,16 @@
       begin = end + 1;
     }
   }
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-      "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Expect"};
+  static constexpr std::array<std::string_view, 10> kNames = {"Connection",
+                                                              "Keep-Alive",
+                                                              "Proxy-Connection",
+                                                              "Proxy-Authenticate",
+                                                              "Proxy-Authorization",
+                                                              "TE",
+                                                              "Trailer",
+                                                              "Transfer-Encoding",
+                                                              "Upgrade",
+                                                              "Expect"};
   std::erase_if(headers, [&named](const auto& header) {
     const auto is_name = [&header](std::string_view name) {
       return EqualNames(header.first, name);
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -23,8 +23,8 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !this->is_done() && error_ == ParseError::kNone) {
       beast::error_code code;
-      const std::size_t count =
-          this->put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
+      const std::size_t count = this->put(
+          boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
       consumed += count;
       if (code == bhttp::error::need_more) break;
       if (code) SetError(code);
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -17,7 +17,7 @@
  public:
   virtual ~IStreamHandler() = default;
   virtual void OnConnected() = 0;
-  virtual void OnBytes() = 0;  // New bytes are in Input().
+  virtual void OnBytes() = 0;    // New bytes are in Input().
   virtual void OnWritten() = 0;  // Everything buffered was handed to the system.
   // The connection is over; kClosed if the peer closed it in order.
   virtual void OnClosed(Failure failure) = 0;
--- /dev/null
+++ b/src/http/tests/mocks/raw_peer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/listener.h"
+#include "http/stream.h"
+
+namespace monsoonshelf::http::tests {
+
+// A server that speaks raw bytes, for answers that no library would send.
+class RawPeer {
+ public:
+  class Connection : public IStreamHandler {
+   public:
+    Connection(RawPeer& peer, int descriptor) : peer_(peer), descriptor_(descriptor) {
+      stream_ = Stream::Adopt(descriptor, *this, {});
+    }
+    void OnConnected() override {}
+    void OnBytes() override {
+      received_ += stream_->Input();
+      stream_->Input().clear();
+      if (peer_.on_bytes_) peer_.on_bytes_(*this);
+    }
+    void OnWritten() override {}
+    void OnClosed(Failure /*failure*/) override { closed_ = true; }
+    void Write(const std::string& bytes) { stream_->Write(bytes); }
+    // Ends the connection in order, after what was written.
+    void Close() { stream_->ShutDown(); }
+    // Drops the connection so that the other side sees a reset.
+    void Reset() {
+      const linger option = {1, 0};
+      setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+      stream_.reset();
+    }
+
+    RawPeer& peer_;
+    int descriptor_;
+    std::unique_ptr<Stream> stream_;
+    std::string received_;
+    bool closed_ = false;
+  };
+
+  RawPeer() {
+    auto listener = Listener::Open("127.0.0.1:0", [this](int descriptor) {
+      connections_.push_back(std::make_unique<Connection>(*this, descriptor));
+    });
+    listener_ = std::move(listener.value());
+  }
+
+  Address GetAddress() const { return *ParseAddress(listener_->LocalAddress()); }
+
+  std::function<void(Connection&)> on_bytes_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+
+ private:
+  std::unique_ptr<Listener> listener_;
+};
+
+}  // namespace monsoonshelf::http::tests
--- /dev/null
+++ b/src/logging/internal/bounded_appender.cc
@@ -0,0 +1,94 @@
+#include "logging/internal/bounded_appender.h"
+
+#include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "base/clock.h"
+
+namespace monsoonshelf::logging {
+
+namespace {
+
+// Lines of about three seconds at the highest rate.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
+// An entry host answers some tens of requests a second; a log that grows faster tells nothing new.
+constexpr double kMaxLinesPerSecond = 300;
+constexpr double kMaxBurstLines = 600;
+// A pipe that is ready to write takes this many bytes without blocking (PIPE_BUF).
+constexpr std::size_t kWriteBytes = 4096;
+// Lines are written together, unless this much has gathered.
+constexpr std::size_t kFlushBytes = 16 * 1024;
+// Time that closing may wait for a slow reader, in milliseconds.
+constexpr int kCloseWaitMs = 200;
+
+bool IsWritable(int descriptor, int wait_ms) {
+  pollfd entry = {descriptor, POLLOUT, 0};
+  return poll(&entry, 1, wait_ms) > 0 && (entry.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+BoundedAppender::~BoundedAppender() { destructorImpl(); }
+
+void BoundedAppender::close() {
+  while (!buffer_.empty() && IsWritable(descriptor_, kCloseWaitMs)) {
+    const std::size_t before = buffer_.size();
+    Flush();
+    if (buffer_.size() == before) break;
+  }
+  buffer_.clear();
+  closed = true;
+}
+
+bool BoundedAppender::TakeToken() {
+  const std::int64_t now = Now().time_since_epoch().count();
+  if (tokens_ < 0) {
+    tokens_ = kMaxBurstLines;
+  } else {
+    const double seconds = static_cast<double>(now - filled_) / 1e6;
+    tokens_ = std::min(kMaxBurstLines, tokens_ + seconds * kMaxLinesPerSecond);
+  }
+  filled_ = now;
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent& event) {
+  const std::string& line = event.getMessage();
+  if (!TakeToken() || buffer_.size() + line.size() + 1 > kMaxBufferedBytes) {
+    ++dropped_;
+    return;
+  }
+  ReportDropped();
+  buffer_.append(line).push_back('\n');
+  if (buffer_.size() >= kFlushBytes) Flush();
+}
+
+void BoundedAppender::ReportDropped() {
+  if (dropped_ == reported_) return;
+  buffer_.append("event=log_lines_dropped count=")
+      .append(std::to_string(dropped_ - reported_))
+      .append(" total=")
+      .append(std::to_string(dropped_))
+      .push_back('\n');
+  reported_ = dropped_;
+}
+
+void BoundedAppender::Flush() {
+  std::size_t written = 0;
+  while (written < buffer_.size() && IsWritable(descriptor_, 0)) {
+    const ssize_t count = write(descriptor_, buffer_.data() + written,
+                                std::min(kWriteBytes, buffer_.size() - written));
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) break;  // Nobody reads any more; the lines are dropped when the buffer is full.
+    written += static_cast<std::size_t>(count);
+  }
+  buffer_.erase(0, written);
+}
+
+}  // namespace monsoonshelf::logging
--- a/src/logging/internal/logging.cc
+++ b/src/logging/internal/logging.cc
@@ -6,6 +6,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <unistd.h>
 
 #include <array>
 #include <cstdio>
@@ -13,6 +14,7 @@
 #include <fstream>
 
 #include "base/clock.h"
+#include "logging/internal/bounded_appender.h"
 
 namespace monsoonshelf::logging {
 
@@ -37,6 +39,7 @@
   log4cplus::Logger logger_;
   HostName host_;
   bool open_ = false;
+  log4cplus::helpers::SharedObjectPtr<BoundedAppender> bounded_;
 };
 
 State& TheState() {
@@ -47,7 +50,10 @@
 log4cplus::SharedAppenderPtr MakeAppender(const LogSettings& settings) {
   log4cplus::SharedAppenderPtr appender;
   // Each event is written out at once: the last lines before a kill are the ones that matter.
-  if (settings.file_.empty()) {
+  if (settings.bounded_) {
+    TheState().bounded_ = new BoundedAppender(STDOUT_FILENO);
+    appender = log4cplus::SharedAppenderPtr(TheState().bounded_.get());
+  } else if (settings.file_.empty()) {
     appender = new log4cplus::ConsoleAppender(false, true);
   } else {
     appender = new log4cplus::FileAppender(settings.file_, std::ios_base::app, true);
@@ -80,6 +86,13 @@
   if (!state.open_) return;
   state.open_ = false;
   state.logger_.removeAllAppenders();
+  if (state.bounded_.get() != nullptr) state.bounded_->close();
+  state.bounded_ = {};
+}
+
+void FlushLog() {
+  State& state = TheState();
+  if (state.bounded_.get() != nullptr) state.bounded_->Flush();
 }
 
 bool IsLogged(LogLevel level) {
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -17,6 +17,9 @@
 // Writes out and closes the log.
 void TearDownLogging();
 
+// Writes out what a bounded log has gathered, without blocking. Call it a few times a second.
+void FlushLog();
+
 // Whether events of a level are written, for callers that would compute fields in vain.
 bool IsLogged(LogLevel level);
 
--- a/src/logging/logging_types.h
+++ b/src/logging/logging_types.h
@@ -18,6 +18,9 @@
 struct LogSettings {
   LogLevel level_ = LogLevel::kInfo;
   std::string file_;  // Empty: standard output.
+  // Standard output is never waited for: lines are kept in a bounded buffer until FlushLog, and
+  // dropped and counted beyond it.
+  bool bounded_ = false;
 };
 
 }  // namespace monsoonshelf::logging
