--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -8,6 +8,13 @@
 
 namespace monsoonshelf::gateway {
 
+namespace {
+
+// Wait of a watch that finds out whether a source is back.
+constexpr Duration kRetryWait = std::chrono::milliseconds(20);
+
+}  // namespace
+
 RecordFeed::RecordFeed(RecordKind kind, Handler handler)
     : kind_(kind),
       handler_(std::move(handler)),
@@ -54,6 +61,7 @@
     return handler_.on_status_(page.status_, Duration(0));
   }
   confirmed_ = std::max(confirmed_, Now() - page.age_);
+  failed_ = false;
   // Pages may differ in age. Watching from the oldest revision repeats changes but misses none.
   pages_revision_ = pages_.empty() ? page.revision_ : std::min(pages_revision_, page.revision_);
   std::move(page.records_.begin(), page.records_.end(), std::back_inserter(pages_));
@@ -78,8 +86,9 @@
 }
 
 void RecordFeed::Watch() {
-  store_->Watch(kind_, revision_, settings_.watch_wait_,
-                settings_.watch_wait_ + settings_.watch_slack_,
+  // After a failure an answer without a change is as good as one with a change.
+  const Duration wait = failed_ ? kRetryWait : settings_.watch_wait_;
+  store_->Watch(kind_, revision_, wait, wait + settings_.watch_slack_,
                 [this, generation = generation_](const StoreEvents& events) {
                   if (generation == generation_) OnEvents(events);
                 });
@@ -101,6 +110,7 @@
     return handler_.on_status_(events.status_, Duration(0));
   }
   confirmed_ = std::max(confirmed_, Now() - events.age_);
+  failed_ = false;
   retry_ = settings_.first_retry_;
   timer_.Set(Now() + settings_.watch_pause_);
   revision_ = std::max(revision_, events.revision_);
@@ -109,6 +119,7 @@
 }
 
 void RecordFeed::RetryLater() {
+  failed_ = true;
   timer_.Set(Now() + retry_);
   retry_ = std::min(retry_ * 2, settings_.last_retry_);
 }
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -12,9 +12,11 @@
 
 // The watch of the configuration returns this often also without a change: its answer confirms that
 // the store is reachable and still has the history that the other watches wait on. The store may
-// drop changes without waking a watch.
-constexpr FeedSettings kStoreConfirmation = {.watch_wait_ = std::chrono::milliseconds(2000),
-                                             .watch_slack_ = std::chrono::milliseconds(600)};
+// drop changes without waking a watch. A change must be in effect two seconds after the store is
+// sound again, which leaves one lost watch and the list that follows.
+constexpr FeedSettings kStoreConfirmation = {.watch_wait_ = std::chrono::milliseconds(1500),
+                                             .watch_slack_ = std::chrono::milliseconds(400),
+                                             .first_retry_ = std::chrono::milliseconds(50)};
 // A watch that waits on a dead connection ends after this time.
 constexpr FeedSettings kStoreWatch = {.watch_wait_ = std::chrono::seconds(8)};
 // Reading another entry host is free, so that its loss is noticed sooner.
