--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -10,10 +10,12 @@
   Duration retry_after_{};  // When there is likely to be room, if it isn't admitted.
 };
 
-// Whether a request that the best target would answer after `expected` is worth sending: not if the
-// time that is left ends before, or if the target's queue would refuse it.
+// Whether a request that the best target would answer after `expected` is worth sending. Not if the
+// time that is left ends before. Not either behind a queue in which it would miss its latency
+// objective: under overload such a queue makes every request late, while a short one answers as
+// many in time as the targets bear.
 Admission Admit(const Candidate& best, const PlacementInputs& inputs, Duration expected,
-                Duration time_left);
+                Duration time_left, Duration objective_left);
 
 // When a second target is tried while the first one works: early enough for the latency objective,
 // not before most requests are answered.
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Requests that wait at a target beyond its slots. Targets queue a few more, but one that waits
-// behind as many as there are slots is late already.
+// Requests that may wait at a target for each of its slots, whatever the objective. Targets queue
+// a few and refuse more.
 constexpr int kMaxWaitingPerSlot = 2;
 constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(500);
@@ -24,12 +24,14 @@
 }  // namespace
 
 Admission Admit(const Candidate& best, const PlacementInputs& inputs, Duration expected,
-                Duration time_left) {
+                Duration time_left, Duration objective_left) {
   const int slots = std::max(1, best.load_ ? best.load_->slots_ : best.slots_);
   const int waiting = best.load_ ? best.load_->waiting_ : 0;
   Admission admission;
   const bool in_time = !inputs.work_known_ || expected < time_left;
-  admission.admitted_ = in_time && waiting < kMaxWaitingPerSlot * slots;
+  const bool queues = best.load_ && best.load_->running_ + waiting >= slots;
+  const bool too_late = inputs.work_known_ && queues && expected > objective_left;
+  admission.admitted_ = in_time && !too_late && waiting < kMaxWaitingPerSlot * slots;
   if (!admission.admitted_) {
     // One slot gets free each work time divided by the slots; the queue drains at that rate.
     const Duration drain = Scale(inputs.work_, static_cast<double>(waiting + 1) / slots);
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -285,7 +285,7 @@
       return AnswerFailure(503, EndReason::kNoTarget, RetryAfterNoTarget(state_.random_), now);
     }
     const Duration expected = ExpectedTime(*best, inputs);
-    const Admission admission = Admit(*best, inputs, expected, deadline_ - now);
+    const Admission admission = Admit(*best, inputs, expected, deadline_ - now, ObjectiveLeft(now));
     if (purpose_ == Purpose::kHedge && (IsWorthWidening(*best, inputs) || !admission.admitted_)) {
       EndSelection();
       return SetTimer();
@@ -352,14 +352,18 @@
   attempts_.push_back(attempt);
   hedge_at_ = Time::max();
   if (IsIdempotent(route_->kind_) && sends_ < route_->max_attempts_ && attempts_.size() == 1) {
-    const Duration objective_left = request_.received_ + route_->latency_objective_ - now;
-    hedge_at_ = now + HedgeDelay(Inputs().work_, expected, objective_left);
+    hedge_at_ = now + HedgeDelay(Inputs().work_, expected, ObjectiveLeft(now));
   }
   attempt->Send(deadline_ - now);
   SetTimer();
   return true;
 }
 
+Duration Call::ObjectiveLeft(Time now) const {
+  if (route_->latency_objective_.count() == 0) return deadline_ - now;
+  return request_.received_ + route_->latency_objective_ - now;
+}
+
 bool Call::MayRepeat(Time now) {
   if (sends_ >= route_->max_attempts_ || now >= deadline_) return false;
   if (!HasRetry(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_, now)) {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -82,6 +82,7 @@
   void Decide(Time now);
   void EndSelection();
   bool SendTo(Probe& probe, Duration expected, Time now);
+  Duration ObjectiveLeft(Time now) const;
   bool MayRepeat(Time now);
 
   void OnTimer();
