--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -121,7 +121,8 @@
 void RecordFeed::RetryLater() {
   failed_ = true;
   timer_.Set(Now() + retry_);
-  retry_ = std::min(retry_ * 2, settings_.last_retry_);
+  // Grows fast: each call is paid, and an outage that isn't over soon lasts for seconds.
+  retry_ = std::min(retry_ * 4, settings_.last_retry_);
 }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -30,9 +30,12 @@
 // Hosts of a zone know each other within half a second of their start. The pause and one
 // confirmation must end before the content of a reader counts as too old.
 constexpr Duration kFirstWatchPause = std::chrono::milliseconds(600);
-// Content of another host that the store confirmed longer ago than this isn't relied on: one
-// confirmation of the reader, and its time limit.
-constexpr Duration kMaxSourceAge = std::chrono::milliseconds(3200);
+// A reader that is in touch with the store confirms its content more often than this: one watch and
+// its time limit. Older content counts as that of a lost store.
+constexpr Duration kUnconfirmedAge = std::chrono::milliseconds(2800);
+// While the store is away the content of every host gets old, and leaving the reader would only make
+// each host pay for its own calls. Beyond this age two hosts may be following each other.
+constexpr Duration kMaxSourceAge = std::chrono::seconds(6);
 // A host that failed as a source is left alone for this time.
 constexpr Duration kAvoidSource = std::chrono::seconds(3);
 // After this time a host that couldn't reach the store may read it again.
@@ -258,7 +261,12 @@
     return OnSourceFailed(status, now);
   }
   if (!source_.empty() && age > kMaxSourceAge) return OnSourceFailed(StoreStatus::kInvalid, now);
-  if (kind == RecordKind::kConfiguration) OnSourceConfirmed(now);
+  if (kind != RecordKind::kConfiguration) return;
+  if (age > kUnconfirmedAge) {
+    SetLost(status);
+  } else {
+    OnSourceConfirmed(now);
+  }
 }
 
 void StoreSync::OnSourceFailed(StoreStatus status, Time now) {
@@ -268,15 +276,20 @@
   }
   reaches_store_ = false;
   store_failed_ = now;
-  if (lost_) return;
-  lost_ = true;
-  logging::LogEvent(logging::LogLevel::kWarning, "store_lost",
-                    {{"status", std::string(NameOf(kStoreStatusNames, status))}});
+  SetLost(status);
   // Each call is paid, also one that fails: until the store is back one watch asks for it.
   target_feed_.Pause();
   evacuation_feed_.Pause();
 }
 
+void StoreSync::SetLost(StoreStatus status) {
+  if (lost_) return;
+  lost_ = true;
+  logging::LogEvent(logging::LogLevel::kWarning, "store_lost",
+                    {{"source", source_.empty() ? "store" : source_},
+                     {"status", std::string(NameOf(kStoreStatusNames, status))}});
+}
+
 void StoreSync::OnSourceConfirmed(Time now) {
   if (source_.empty()) reaches_store_ = true;
   if (!lost_) return;
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -48,6 +48,7 @@
   void UseSource(const std::string& address, Time now);
   void RestartOtherFeeds();
   void OnSourceFailed(StoreStatus status, Time now);
+  void SetLost(StoreStatus status);
   void OnSourceConfirmed(Time now);
 
   void Register();
