tests: soak of the real program with faults from outside

Callers and targets check that nothing runs twice, that refusals are true, answers whole and their own, that leaving targets and emptied zones get nothing, and that service recovers.

--- /dev/null
+++ b/tests/soak/store.cc
@@ -0,0 +1,109 @@
+#include "tests/soak/store.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace monsoonshelf::soak {
+
+namespace {
+
+constexpr std::string_view kPath = "/v1/objects/";
+constexpr Duration kSweepInterval = std::chrono::milliseconds(20);
+
+std::int64_t QueryNumber(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  return at == std::string::npos ? -1 : std::atoll(target.c_str() + at + name.size() + 1);
+}
+
+void Respond(const http::ServerConnectionPtr& connection, int status, const nlohmann::json& body) {
+  connection->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+}  // namespace
+
+Store::Store()
+    : connections_(*this), timer_(g_main_context_get_thread_default(), [this] { Wake(); }) {
+  auto listener = http::Listener::Open("127.0.0.1:0",
+                                       [this](int descriptor) { connections_.Accept(descriptor); });
+  listener_ = std::move(listener.value());
+  timer_.Set(Now() + kSweepInterval);
+}
+
+void Store::Put(const std::string& kind, const std::string& name, const Json& spec) {
+  ++revision_;
+  Json object = {{"metadata", {{"name", name}, {"resourceVersion", revision_}}}, {"spec", spec}};
+  objects_[kind][name] = object;
+  changes_.push_back({revision_, kind, std::move(object), false});
+}
+
+void Store::Delete(const std::string& kind, const std::string& name) {
+  const auto found = objects_[kind].find(name);
+  if (found == objects_[kind].end()) return;
+  changes_.push_back({++revision_, kind, found->second, true});
+  objects_[kind].erase(found);
+}
+
+void Store::OnRequest(const http::ServerConnectionPtr& connection, http::Request request) {
+  const std::string& target = request.head_.target_;
+  if (busy_ || !target.starts_with(kPath)) return Respond(connection, busy_ ? 503 : 404, {});
+  const std::string rest = target.substr(kPath.size());
+  const std::string kind = rest.substr(0, rest.find_first_of("/?"));
+  if (request.head_.method_ != "GET") return AnswerWrite(connection, kind, request);
+  const std::int64_t after = QueryNumber(target, "watch");
+  if (after < 0) return AnswerList(connection, kind);
+  const auto wait = std::chrono::milliseconds(QueryNumber(target, "waitMs"));
+  const Waiting waiting = {connection, kind, after, Now() + wait};
+  if (!AnswerWatch(waiting, false)) waiting_.push_back(waiting);
+}
+
+void Store::OnCallerGone(const http::ServerConnectionPtr& connection) {
+  std::erase_if(waiting_, [&](const Waiting& item) { return item.connection_ == connection; });
+}
+
+void Store::AnswerList(const http::ServerConnectionPtr& connection, const std::string& kind) {
+  Json items = Json::array();
+  for (const auto& [name, object] : objects_[kind]) items.push_back(object);
+  Respond(connection, 200, {{"items", items}, {"more", false}, {"currentRev", revision_}});
+}
+
+bool Store::AnswerWatch(const Waiting& waiting, bool at_end) {
+  if (waiting.after_ < history_begin_) {
+    // Only a new watch hears of the loss.
+    if (!at_end && waiting.deadline_ - Now() < std::chrono::milliseconds(1)) return false;
+    Respond(waiting.connection_, 410, Json::object());
+    return true;
+  }
+  Json events = Json::array();
+  for (const Change& change : changes_) {
+    if (change.kind_ != waiting.kind_ || change.revision_ <= waiting.after_) continue;
+    events.push_back({{"object", change.object_}, {"deleted", change.deleted_}});
+  }
+  if (events.empty() && !at_end) return false;
+  Respond(waiting.connection_, 200, {{"events", events}, {"currentRev", revision_}});
+  return true;
+}
+
+void Store::AnswerWrite(const http::ServerConnectionPtr& connection, const std::string& kind,
+                        const http::Request& request) {
+  const Json body = Json::parse(request.body_, nullptr, false);
+  const std::string name = body["metadata"]["name"];
+  const auto found = objects_[kind].find(name);
+  const bool exists = found != objects_[kind].end();
+  if (request.head_.method_ == "POST" && exists) return Respond(connection, 409, found->second);
+  if (request.head_.method_ == "PUT" && !exists) return Respond(connection, 404, {});
+  Put(kind, name, body["spec"]);
+  Respond(connection, 200, objects_[kind][name]);
+}
+
+void Store::Wake() {
+  const Time now = Now();
+  std::erase_if(waiting_, [this, now](const Waiting& item) {
+    if (item.after_ < history_begin_ && item.deadline_ > now) return false;
+    return AnswerWatch(item, item.deadline_ <= now);
+  });
+  timer_.Set(now + kSweepInterval);
+}
+
+}  // namespace monsoonshelf::soak
--- /dev/null
+++ b/tests/soak/target.cc
@@ -0,0 +1,105 @@
+#include "tests/soak/target.h"
+
+#include <utility>
+
+#include "base/clock.h"
+
+namespace monsoonshelf::soak {
+
+namespace {
+
+constexpr std::size_t kSlots = 2;
+constexpr std::size_t kMaxQueue = 4;
+constexpr Duration kTimerInterval = std::chrono::milliseconds(2);
+
+}  // namespace
+
+Target::Target(std::string name, std::string zone, Store& store, Ledger& ledger, std::uint64_t seed)
+    : name_(std::move(name)),
+      zone_(std::move(zone)),
+      store_(store),
+      ledger_(ledger),
+      connections_(*this),
+      random_(seed),
+      born_(WallMicroseconds() / 1000),
+      timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {
+  auto listener = http::Listener::Open("127.0.0.1:0",
+                                       [this](int descriptor) { connections_.Accept(descriptor); });
+  listener_ = std::move(listener.value());
+  proxy_ = std::make_unique<TcpProxy>(*ParseAddress(listener_->LocalAddress()));
+  timer_.Set(Now() + kTimerInterval);
+  Register(false);
+}
+
+void Target::Register(bool draining) {
+  store_.Put(
+      "servers", name_,
+      {{"address", proxy_->GetAddress()},
+       {"born", born_},
+       {"info", {{"service", "s"}, {"zone", zone_}, {"slots", kSlots}}},
+       {"status",
+        {{"state", draining ? "draining" : "ready"}, {"sequence", 1}, {"warmupLeftMs", 0}}}});
+}
+
+void Target::OnRequest(const http::ServerConnectionPtr& connection, http::Request request) {
+  const http::Headers& headers = request.head_.headers_;
+  const std::string load = std::to_string(std::min(running_.size(), kSlots)) + "," +
+                           std::to_string(running_.size() > kSlots ? running_.size() - kSlots : 0) +
+                           "," + std::to_string(kSlots) + ",100";
+  if (request.head_.target_ == "/healthz") {
+    return connection->Respond(200, {{"Instance-Id", name_}, {"Server-Load", load}}, {});
+  }
+  const std::string* id = http::FindHeader(headers, "Attempt-Id");
+  const std::string* expected = http::FindHeader(headers, "Expect-Instance");
+  if (id == nullptr || !ledger_.sent_.contains(*id)) {
+    ledger_.violations_.push_back("unasked request at " + name_);
+    return connection->Respond(400, {{"Not-Executed", "1"}}, {});
+  }
+  if (expected == nullptr || *expected != name_) {
+    return connection->Respond(421, {{"Instance-Id", name_}}, {});
+  }
+  if (Now() > closed_from_) ledger_.violations_.push_back("late request at " + name_ + " " + *id);
+  if (mode_ == TargetMode::kRefuses || running_.size() >= kSlots + kMaxQueue) {
+    return connection->Respond(503, {{"Not-Executed", "1"}, {"Attempt-Id", *id}}, {});
+  }
+  const int runs = ++ledger_.runs_[*id];
+  if (runs > 1 && ledger_.sent_[*id]) ledger_.violations_.push_back("second run of " + *id);
+  if (mode_ == TargetMode::kResets) return connection->Abort();
+  if (mode_ == TargetMode::kFails) {
+    return connection->Respond(500, {{"Attempt-Id", *id}, {"Server-Signature", name_}}, "failed");
+  }
+  const int work_ms =
+      mode_ == TargetMode::kHangs ? 60'000 : std::uniform_int_distribution<int>(10, 60)(random_);
+  const std::size_t ahead = running_.size() < kSlots ? 0 : running_.size() - kSlots + 1;
+  running_.push_back({connection, *id, request.head_.target_ + request.body_,
+                      Now() + std::chrono::milliseconds(work_ms * (1 + ahead))});
+}
+
+void Target::OnCallerGone(const http::ServerConnectionPtr& connection) {
+  std::erase_if(running_, [&](const Work& work) { return work.connection_ == connection; });
+}
+
+void Target::OnRejected(int status, std::string_view reason) {
+  ledger_.violations_.push_back("malformed request at " + name_ + ": " + std::to_string(status) +
+                                " " + std::string(reason));
+}
+
+void Target::OnTimer() {
+  const Time now = Now();
+  std::vector<Work> due;
+  for (auto work = running_.begin(); work != running_.end();) {
+    if (work->end_ <= now) {
+      due.push_back(std::move(*work));
+      work = running_.erase(work);
+    } else {
+      ++work;
+    }
+  }
+  for (const Work& work : due) {
+    work.connection_->Respond(200, {{"Attempt-Id", work.id_}, {"Server-Signature", name_}},
+                              "done " + work.body_);
+  }
+  timer_.Set(now + kTimerInterval);
+}
+
+}  // namespace monsoonshelf::soak
