--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,10 +24,13 @@
 using tests::MockRecordStore;
 using Behaviour = FakeTarget::Behaviour;
 
+// Looks up records by the text that the test gave them.
 struct TextFormat : IRecordFormat {
-  StoredRecord ReadRecord(RecordKind /*kind*/, const std::string& /*text*/) const override {
-    return {};
+  StoredRecord ReadRecord(RecordKind /*kind*/, const std::string& text) const override {
+    const auto found = records_.find(text);
+    return found == records_.end() ? StoredRecord{} : found->second;
   }
+  std::map<std::string, StoredRecord> records_;
 };
 
 // An address that nobody listens on now.
@@ -326,7 +330,9 @@
     // A change that only the reader's store has shows that the host follows the reader.
     Configuration early = MakeConfiguration(4);
     early.routes_.push_back(MakeRoute("/early/", RequestKind::kSafe));
-    reader_store.Put(RecordKind::kConfiguration, {"main", 0, early, {}, {}});
+    const StoredRecord record = {"main", 0, early, {}, "early"};
+    record_format_.records_["early"] = record;
+    reader_store.Put(RecordKind::kConfiguration, record);
     CPPUNIT_ASSERT(loop_->RunUntil([&] {
       reader_store.EndWaits(RecordKind::kConfiguration);
       return Ask("/early/").status_ == 200;
@@ -334,6 +340,7 @@
     // From now on the reader's watches wait for ever, as on a silent connection.
     Configuration late = MakeConfiguration(5);
     late.routes_.push_back(MakeRoute("/late/", RequestKind::kSafe));
+    store_->revision_ = reader_store.revision_;  // The two stand for one store.
     store_->Put(RecordKind::kConfiguration, {"main", 0, late, {}, {}});
     CPPUNIT_ASSERT(loop_->RunUntil([&] { return Ask("/late/").status_ == 200; }));
   }
