--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -3,7 +3,7 @@
 # and undefined behaviour and once for threads. Usage: sanitize.sh BUILD_DIR JOBS
 set -euo pipefail
 base=$1 jobs=$2
-modules=(store peer control entry)
+modules=(http gateway platform store peer control entry)
 # GLib keeps type data and thread pools until the process ends, which is not a leak.
 export ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 # GLib is not built with the thread sanitizer, so that its locks look like races inside it.
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -538,7 +538,7 @@
     http::Headers headers = state_.format_.OwnHeaders(info_.id_);
     headers.emplace_back("Content-Type", "text/plain");
     if (status == 503) headers.emplace_back("Retry-After", Seconds(retry_after));
-    connection_->Respond(status, std::move(headers), NameOf(kEndReasonNames, reason));
+    connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   }
   Finish(status, reason, now);
 }
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -128,11 +128,11 @@
 }
 
 const ServiceSpec& SpecOf(const GatewayState& state, const std::string& service) {
-  static const ServiceSpec kUnknown;
-  if (state.configuration_ == nullptr) return kUnknown;
+  static const ServiceSpec unknown;
+  if (state.configuration_ == nullptr) return unknown;
   const auto& services = state.configuration_->configuration_.services_;
   const auto found = services.find(service);
-  return found == services.end() ? kUnknown : found->second;
+  return found == services.end() ? unknown : found->second;
 }
 
 void LearnCold(TargetState& target, Duration cold_left, Time now) {
--- a/src/gateway/internal/limits.cc
+++ b/src/gateway/internal/limits.cc
@@ -66,7 +66,8 @@
   HostName owner;
   XXH64_hash_t highest = 0;
   for (const HostName& host : hosts) {
-    const std::string key = target + ' ' + host;
+    std::string key = target;
+    key.append(" ").append(host);
     const XXH64_hash_t hash = XXH3_64bits(key.data(), key.size());
     if (owner.empty() || hash > highest) {
       owner = host;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -128,6 +128,7 @@
   // Guards against 16 hosts that each send a little to the same cold target.
   void OneHostServesAColdTarget() {
     std::vector<HostName> hosts;
+    hosts.reserve(16);
     for (int i = 0; i < 16; ++i) hosts.push_back("host-" + std::to_string(i));
     std::map<HostName, int> owned;
     for (int i = 0; i < 200; ++i) ++owned[ColdTargetOwner("t" + std::to_string(i), hosts)];
@@ -144,7 +145,8 @@
     const Duration interval = ColdSendInterval(service);
     std::vector<Time> sends;
     for (int owner = 0; owner < 2; ++owner) {
-      for (Time at = At(owner * 130); at < At(5000); at += interval) sends.push_back(at);
+      for (Time at = At(std::int64_t{owner} * 130); at < At(5000); at += interval)
+        sends.push_back(at);
     }
     constexpr double kAllowed = 2 * 1.5 + 5;
     for (const Time begin : sends) {
@@ -348,6 +350,7 @@
   void ReturnsAreSpread() {
     Random random(9);
     std::vector<Duration> returns;
+    returns.reserve(200);
     for (int i = 0; i < 200; ++i) returns.push_back(SpreadRetry(milliseconds(400), random));
     std::sort(returns.begin(), returns.end());
     CPPUNIT_ASSERT(returns.front() >= milliseconds(400));
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -258,6 +258,7 @@
   // All hosts must choose the same reader; one that can't reach the store is passed over.
   void OneReaderIsChosen() {
     std::vector<HostName> names;
+    names.reserve(6);
     for (int i = 0; i < 6; ++i) names.push_back("host-" + std::to_string(i));
     const HostName top = *std::max_element(names.begin(), names.end(), [](auto& a, auto& b) {
       return ReaderRank(a, 0) < ReaderRank(b, 0);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -34,7 +34,7 @@
 
   // Sends a request. The connection must be idle. The handler must stay alive until the exchange
   // ends or Cancel is called.
-  void Start(std::string request, bool is_head, IExchangeHandler& handler);
+  void Start(const std::string& request, bool is_head, IExchangeHandler& handler);
   // Closes the connection without a further call to the handler.
   void Cancel();
   void PauseReading(bool paused);
--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -23,7 +23,7 @@
 
 ClientConnection::~ClientConnection() { *alive_ = false; }
 
-void ClientConnection::Start(std::string request, bool is_head, IExchangeHandler& handler) {
+void ClientConnection::Start(const std::string& request, bool is_head, IExchangeHandler& handler) {
   handler_ = &handler;
   is_head_ = is_head;
   head_passed_ = false;
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -95,7 +95,8 @@
   Respond(status, {{"Content-Type", "text/plain"}}, reason, true);
 }
 
-void ServerConnection::Respond(int status, Headers headers, std::string_view body, bool close) {
+void ServerConnection::Respond(int status, const Headers& headers, std::string_view body,
+                               bool close) {
   if (state_ != State::kBusy) return;
   close = close || !keep_alive_ || owner_.closing_;
   std::string text = FormatResponseHead(status, headers, body.size(), close);
@@ -105,7 +106,7 @@
   FinishAnswer(close);
 }
 
-void ServerConnection::BeginBody(int status, Headers headers, bool close) {
+void ServerConnection::BeginBody(int status, const Headers& headers, bool close) {
   if (state_ != State::kBusy) return;
   keep_alive_ = keep_alive_ && !close && !owner_.closing_;
   state_ = State::kStreaming;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -59,9 +59,9 @@
   bool IsBusy() const { return state_ == State::kBusy || state_ == State::kStreaming; }
 
   // Answers the present request. `close` ends the connection after the answer.
-  void Respond(int status, Headers headers, std::string_view body, bool close = false);
+  void Respond(int status, const Headers& headers, std::string_view body, bool close = false);
   // Starts an answer whose body is given in parts: WriteBody, then EndBody or Abort.
-  void BeginBody(int status, Headers headers, bool close = false);
+  void BeginBody(int status, const Headers& headers, bool close = false);
   void WriteBody(std::string_view bytes);
   void EndBody();
   // Closes the connection so that the answer doesn't look complete.
--- a/src/logging/internal/bounded_appender.cc
+++ b/src/logging/internal/bounded_appender.cc
@@ -21,7 +21,7 @@
 // A pipe that is ready to write takes this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t kWriteBytes = 4096;
 // Lines are written together, unless this much has gathered.
-constexpr std::size_t kFlushBytes = 16 * 1024;
+constexpr std::size_t kFlushBytes = std::size_t{16} * 1024;
 // Time that closing may wait for a slow reader, in milliseconds.
 constexpr int kCloseWaitMs = 200;
 
--- a/tests/soak/hosts.cc
+++ b/tests/soak/hosts.cc
@@ -36,7 +36,7 @@
 
 }  // namespace
 
-Host::Host(std::string program, std::string name, std::string zone, const Address& store,
+Host::Host(std::string program, std::string name, const std::string& zone, const Address& store,
            const std::string& folder)
     : program_(std::move(program)),
       name_(std::move(name)),
--- a/tests/soak/hosts.h
+++ b/tests/soak/hosts.h
@@ -14,7 +14,7 @@
 // One entry host: the real program as a process of its own, with its own way to the store.
 class Host {
  public:
-  Host(std::string program, std::string name, std::string zone, const Address& store,
+  Host(std::string program, std::string name, const std::string& zone, const Address& store,
        const std::string& folder);
   ~Host();  // Kills the process if it runs.
 
