--- a/tests/soak/hosts.cc
+++ b/tests/soak/hosts.cc
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <fstream>
-#include <random>
 #include <utility>
 
 #include "base/clock.h"
@@ -21,15 +20,17 @@
 constexpr Duration kStopSlack = std::chrono::seconds(2);
 
 // A port below those that the system gives to outgoing connections: one of those could be taken
-// while its host is down.
+// while its host is down. Each soak has a block of its own, since several may run beside each
+// other.
 int FreePort() {
-  static std::mt19937 random{std::random_device()()};
-  while (true) {
-    const int port = std::uniform_int_distribution<int>(10'000, 31'000)(random);
-    if (http::Listener::Open("127.0.0.1:" + std::to_string(port), [](int /*descriptor*/) {})) {
-      return port;
-    }
+  constexpr int kFirst = 10'000;
+  constexpr int kBlock = 100;
+  constexpr int kBlocks = 200;
+  static int next = kFirst + static_cast<int>(getpid() % kBlocks) * kBlock;
+  while (!http::Listener::Open("127.0.0.1:" + std::to_string(next), [](int /*descriptor*/) {})) {
+    ++next;
   }
+  return next++;
 }
 
 std::string Local(int port) { return "127.0.0.1:" + std::to_string(port); }
