gateway: spread the return of refused callers over the backlog of refused requests

Retry-After is now spread over the time that the targets need for the requests refused in about the last second. The log line of a request says the patience of its caller, the objective of its route and the Retry-After given.

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -21,8 +21,19 @@
 // not before most requests are answered.
 Duration HedgeDelay(Duration work, Duration expected, Duration objective_left);
 
-// Spreads the return of callers that were refused at the same time.
-Duration SpreadRetry(Duration retry_after, Random& random);
+// Requests of one service in about the last second; older ones lose weight.
+struct Turnover {
+  double answered_ = 0;
+  double refused_ = 0;
+  Time updated_{};
+};
+
+void CountAnswered(Turnover& turnover, Time now);
+void CountRefused(Turnover& turnover, Time now);
+
+// When a refused caller is to return: after `earliest`, and spread over the time that the targets
+// need for those that were refused lately.
+Duration SpreadRetry(Duration earliest, const Turnover& turnover, Random& random);
 // Time to return when no target is known or responds.
 Duration RetryAfterNoTarget(Random& random);
 // Time to return to an entry host that has just started.
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -1,6 +1,7 @@
 #include "gateway/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoonshelf::gateway {
 
@@ -10,6 +11,10 @@
 // a few and refuse more.
 constexpr int kMaxWaitingPerSlot = 2;
 constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
+// Long enough to count some requests of each service of an entry host, short enough for a burst.
+constexpr std::chrono::duration<double> kTurnoverSpan(1.0);
+// Most users wait a few seconds in all.
+constexpr Duration kLongestSpread = std::chrono::seconds(2);
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(500);
 // Share of the usual time after which a target without an answer is late.
 constexpr double kEarliestHedge = 1.4;
@@ -21,6 +26,14 @@
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+void Fade(Turnover& turnover, Time now) {
+  const std::chrono::duration<double> elapsed = now - turnover.updated_;
+  const double factor = std::exp(-std::max(0.0, elapsed / kTurnoverSpan));
+  turnover.answered_ *= factor;
+  turnover.refused_ *= factor;
+  turnover.updated_ = now;
+}
+
 }  // namespace
 
 Admission Admit(const Candidate& best, const PlacementInputs& inputs, Duration expected,
@@ -46,11 +59,25 @@
   return std::clamp(latest, Scale(usual, kEarliestHedge), Scale(usual, kLatestHedge));
 }
 
-Duration SpreadRetry(Duration retry_after, Random& random) {
-  const double factor = std::uniform_real_distribution<double>(1.0, 2.0)(random);
-  return Scale(std::max(retry_after, kShortestRetry), factor);
+void CountAnswered(Turnover& turnover, Time now) {
+  Fade(turnover, now);
+  turnover.answered_ += 1;
+}
+
+void CountRefused(Turnover& turnover, Time now) {
+  Fade(turnover, now);
+  turnover.refused_ += 1;
+}
+
+Duration SpreadRetry(Duration earliest, const Turnover& turnover, Random& random) {
+  earliest = std::max(earliest, kShortestRetry);
+  const double answered_per_s = std::max(1.0, turnover.answered_) / kTurnoverSpan.count();
+  const std::chrono::duration<double> backlog(turnover.refused_ / answered_per_s);
+  const auto spread =
+      earliest + std::min(std::chrono::duration_cast<Duration>(backlog), kLongestSpread);
+  return earliest + Scale(spread, std::uniform_real_distribution<double>(0, 1)(random));
 }
 
-Duration RetryAfterNoTarget(Random& random) { return SpreadRetry(kNoTargetRetry, random); }
+Duration RetryAfterNoTarget(Random& random) { return SpreadRetry(kNoTargetRetry, {}, random); }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -295,7 +295,8 @@
       if (!attempts_.empty()) return SetTimer();
       if (sends_maybe_run_ > 0) return AfterFailure(now);
       return AnswerFailure(503, EndReason::kOverloaded,
-                           SpreadRetry(admission.retry_after_, state_.random_), now);
+                           SpreadRetry(admission.retry_after_, Service().turnover_, state_.random_),
+                           now);
     }
     if (SendTo(*probes_[best->index_], expected, now)) return;
     candidates.erase(best);
@@ -496,7 +497,7 @@
   if (error_answer_ != nullptr) return DeliverAnswer(*error_answer_);
   if (sends_maybe_run_ == 0) {
     return AnswerFailure(503, EndReason::kTargetsRefused,
-                         SpreadRetry(Inputs().work_, state_.random_), now);
+                         SpreadRetry(Inputs().work_, Service().turnover_, state_.random_), now);
   }
   AnswerFailure(502, EndReason::kTargetFailed, Duration(0), now);
 }
@@ -538,6 +539,7 @@
     http::Headers headers = state_.format_.OwnHeaders(info_.id_);
     headers.emplace_back("Content-Type", "text/plain");
     if (status == 503) headers.emplace_back("Retry-After", Seconds(retry_after));
+    retry_after_ = retry_after;
     connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   }
   Finish(status, reason, now);
@@ -554,6 +556,8 @@
   state_.metrics_.CountRequest(service_, outcome, NameOf(kEndReasonNames, reason));
   state_.metrics_.ObserveTimes(service_, total, waiting, at_target_);
   const bool served = reason == EndReason::kAnswered && status < 400;
+  if (reason == EndReason::kAnswered) CountAnswered(Service().turnover_, now);
+  if (reason == EndReason::kOverloaded) CountRefused(Service().turnover_, now);
   logging::LogEvent(
       served ? logging::LogLevel::kInfo : logging::LogLevel::kWarning, "request_done",
       {{"call", info_.id_},
@@ -569,6 +573,9 @@
        {"probes", std::to_string(asked_.size())},
        {"wait_ms", Milliseconds(waiting)},
        {"total_ms", Milliseconds(total)},
+       {"retry_after_ms", status == 503 ? Milliseconds(retry_after_) : ""},
+       {"patience_ms", info_.time_left_ ? Milliseconds(*info_.time_left_) : ""},
+       {"objective_ms", route_ != nullptr ? Milliseconds(route_->latency_objective_) : ""},
        {"left_ms", deadline_ == Time::max() ? "" : Milliseconds(deadline_ - now)}});
   owner_.OnCallOver(*this);
 }
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -137,6 +137,7 @@
   std::string last_result_;
   std::string chosen_load_;  // Of the last target, when it was chosen.
   Duration expected_{};
+  Duration retry_after_{};                 // Told to a caller that was refused.
   std::shared_ptr<Attempt> error_answer_;  // Whole answer of a target with an error status.
   bool streaming_ = false;
   eventloop::Timer timer_;
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/address.h"
+#include "gateway/admission.h"
 #include "gateway/gateway_types.h"
 #include "gateway/icall_format.h"
 #include "gateway/internal/gateway_metrics.h"
@@ -50,6 +51,7 @@
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
+  Turnover turnover_;
   std::array<WorkEstimate, kRequestKindNames.size()> work_;  // By kind of request.
 };
 
