--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -315,6 +315,7 @@
   CPPUNIT_TEST(RefusesBehindALongQueue);
   CPPUNIT_TEST(HedgeLeavesTimeForTheSecondTarget);
   CPPUNIT_TEST(ReturnsAreSpread);
+  CPPUNIT_TEST(TriesLastThroughABurst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -356,11 +357,40 @@
     Random random(9);
     std::vector<Duration> returns;
     returns.reserve(200);
-    for (int i = 0; i < 200; ++i) returns.push_back(SpreadRetry(milliseconds(400), random));
+    for (int i = 0; i < 200; ++i) returns.push_back(SpreadRetry(milliseconds(400), {}, random));
     std::sort(returns.begin(), returns.end());
     CPPUNIT_ASSERT(returns.front() >= milliseconds(400));
     CPPUNIT_ASSERT(returns[150] - returns[50] > milliseconds(150));
   }
+
+  // Load: a burst of 120 requests a second at an entry host whose targets answer 40, as in the
+  // second of a burst of five; every caller makes three tries. Guards against callers that use up
+  // their tries while the burst lasts.
+  void TriesLastThroughABurst() {
+    Random random(9);
+    Turnover turnover;
+    Time now{};
+    for (int request = 0; request < 360; ++request) {
+      now += std::chrono::microseconds(8333);
+      if (request % 3 == 0) {
+        CountAnswered(turnover, now);
+      } else {
+        CountRefused(turnover, now);
+      }
+    }
+    Duration total{};
+    for (int caller = 0; caller < 200; ++caller) {
+      for (int tries = 0; tries < 2; ++tries) {
+        total += SpreadRetry(milliseconds(100), turnover, random);
+      }
+    }
+    // Twice as many are refused as are answered in a second: the targets need two seconds for them.
+    CPPUNIT_ASSERT(total / 200 > seconds(2));
+    // When the burst is over, callers may soon come back again.
+    now += seconds(10);
+    for (int request = 0; request < 40; ++request) CountAnswered(turnover, now);
+    CPPUNIT_ASSERT(SpreadRetry(milliseconds(100), turnover, random) < milliseconds(250));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
