--- a/src/app/internal/command.cc
+++ b/src/app/internal/command.cc
@@ -1,6 +1,7 @@
 #include "app/internal/command.h"
 
 #include <array>
+#include <ostream>
 
 #include "app/internal/record_commands.h"
 #include "app/internal/run_command.h"
@@ -13,24 +14,39 @@
 namespace {
 
 constexpr auto kCommands = std::to_array<Command>({
-    {"run", "SETTINGS", "run an entry host", RunCommand},
-    {"serve", "[--metrics-port PORT] [--check]", "run an entry host on the users' platform",
-     ServeCommand},
-    {"check-settings", "SETTINGS", "validate a settings file", CheckSettingsCommand},
-    {"records", "validate FILE...", "check record files", RecordsCommand},
-    {"records", "get KIND NAME", "print a record with its version", RecordsCommand},
-    {"records", "list [KIND...]", "list records, versions and faults", RecordsCommand},
-    {"records", "apply FILE...", "write records; a conflict changes nothing", RecordsCommand},
-    {"records", "delete KIND NAME", "delete a record", RecordsCommand},
-    {"records", "watch", "print changes of records", RecordsCommand},
-    {"zone", "out NAME", "take an availability zone out of service", ZoneCommand},
-    {"zone", "in NAME", "take it back into service", ZoneCommand},
-    {"timeline", "FILE... [--html OUT] [--call ID]", "merge event logs", TimelineCommand},
-    {"version", "", "print the version", VersionCommand},
+    {"run", "SETTINGS", "run an entry host", RunCommand, nullptr},
+    {"serve", "[--metrics-port PORT] [--log-level LEVEL] [--check]",
+     "run an entry host on the users' platform", ServeCommand, ServeOptions},
+    {"check-settings", "SETTINGS", "validate a settings file", CheckSettingsCommand, nullptr},
+    {"records", "validate FILE...", "check record files", RecordsCommand, RecordsOptions},
+    {"records", "get KIND NAME", "print a record with its version", RecordsCommand, RecordsOptions},
+    {"records", "list [KIND...]", "list records, versions and faults", RecordsCommand,
+     RecordsOptions},
+    {"records", "apply FILE...", "write records; a conflict changes nothing", RecordsCommand,
+     RecordsOptions},
+    {"records", "delete KIND NAME", "delete a record", RecordsCommand, RecordsOptions},
+    {"records", "watch", "print changes of records", RecordsCommand, RecordsOptions},
+    {"zone", "out NAME", "take an availability zone out of service", ZoneCommand, PlatformOptions},
+    {"zone", "in NAME", "take it back into service", ZoneCommand, PlatformOptions},
+    {"timeline", "FILE... [--html OUT] [--call ID]", "merge event logs", TimelineCommand,
+     TimelineOptions},
+    {"version", "", "print the version", VersionCommand, nullptr},
 });
 
 }  // namespace
 
 std::span<const Command> Commands() { return kCommands; }
 
+bool PrintCommandHelp(std::ostream& out, std::string_view name) {
+  const Command* found = nullptr;
+  for (const Command& command : kCommands) {
+    if (command.name_ != name) continue;
+    out << (found == nullptr ? "Usage: " : "       ") << "monsoonshelf " << command.name_ << " "
+        << command.usage_ << "\n         " << command.summary_ << "\n";
+    found = &command;
+  }
+  if (found != nullptr && found->options_ != nullptr) out << "\n" << found->options_();
+  return found != nullptr;
+}
+
 }  // namespace monsoonshelf::app
--- a/src/app/internal/command.h
+++ b/src/app/internal/command.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/program_options.hpp>
+#include <iosfwd>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,8 +24,12 @@
   std::string_view usage_;  // Arguments after the name.
   std::string_view summary_;
   int (*run_)(const Arguments& arguments);
+  boost::program_options::options_description (*options_)();  // Null: it has none.
 };
 
 std::span<const Command> Commands();
 
+// Prints the forms and options of a command. False if there is no such command.
+bool PrintCommandHelp(std::ostream& out, std::string_view name);
+
 }  // namespace monsoonshelf::app
--- a/src/app/internal/record_commands.cc
+++ b/src/app/internal/record_commands.cc
@@ -22,8 +22,29 @@
 
 constexpr std::size_t kMaxFiles = 10'000;
 
+options::options_description ApplyOptions() {
+  options::options_description description("apply");
+  description.add_options()("replace", "replace records whose file has no version");
+  return description;
+}
+
+options::options_description DeleteOptions() {
+  options::options_description description("delete");
+  description.add_options()("version", options::value<Version>(), "delete only this version");
+  return description;
+}
+
+options::options_description WatchOptions() {
+  options::options_description description("watch");
+  description.add_options()("after", options::value<Version>(), "print changes above this version")(
+      "count", options::value<std::size_t>()->default_value(0), "end after this many changes");
+  return description;
+}
+
+}  // namespace
+
 options::options_description PlatformOptions() {
-  options::options_description description;
+  options::options_description description("Options");
   description.add_options()("platform", options::value<std::string>(), "IP address and port")(
       "settings", options::value<std::string>(), "settings file that names the platform")(
       "timeout-ms", options::value<int>()->default_value(2000), "for each call")(
@@ -31,6 +52,14 @@
   return description;
 }
 
+options::options_description RecordsOptions() {
+  auto description = PlatformOptions();
+  description.add(ApplyOptions()).add(DeleteOptions()).add(WatchOptions());
+  return description;
+}
+
+namespace {
+
 Result<std::unique_ptr<IRecordStore>> OpenStore(const options::variables_map& values) {
   const int timeout = values["timeout-ms"].as<int>();
   if (timeout < 1 || timeout > 600'000) {
@@ -127,7 +156,7 @@
 
 Result<int> Apply(const Arguments& arguments) {
   auto description = PlatformOptions();
-  description.add_options()("replace", "replace records whose file has no version");
+  description.add(ApplyOptions());
   BOOST_LEAF_AUTO(values, ReadCommandLine(description, arguments, 1, kMaxFiles));
   // Nothing is written unless every record is valid.
   BOOST_LEAF_AUTO(all, ReadRecordFiles(Positional(values)));
@@ -138,7 +167,7 @@
 
 Result<int> Delete(const Arguments& arguments) {
   auto description = PlatformOptions();
-  description.add_options()("version", options::value<Version>(), "delete only this version");
+  description.add(DeleteOptions());
   BOOST_LEAF_AUTO(values, ReadCommandLine(description, arguments, 2, 2));
   const Arguments named = Positional(values);
   BOOST_LEAF_AUTO(kind, CheckKind(named[0]));
@@ -158,8 +187,7 @@
 
 Result<int> Watch(const Arguments& arguments) {
   auto description = PlatformOptions();
-  description.add_options()("after", options::value<Version>(), "print changes above this version")(
-      "count", options::value<std::size_t>()->default_value(0), "end after this many changes");
+  description.add(WatchOptions());
   BOOST_LEAF_AUTO(values, ReadCommandLine(description, arguments, 0, 0));
   BOOST_LEAF_AUTO(store, OpenStore(values));
   Version after = 0;
--- a/src/app/internal/record_commands.h
+++ b/src/app/internal/record_commands.h
@@ -12,6 +12,9 @@
 // `records validate|get|list|apply|delete|watch` and `zone out|in`.
 int RecordsCommand(const Arguments& arguments);
 int ZoneCommand(const Arguments& arguments);
+boost::program_options::options_description RecordsOptions();
+// Options of the commands that talk to the platform.
+boost::program_options::options_description PlatformOptions();
 
 // The parts below work on any store, for tests.
 
--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -91,25 +91,26 @@
 }
 
 Result<int> Serve(ServingHost& host, const Arguments& arguments) {
-  options::options_description description("Options");
-  description.add_options()("metrics-port", options::value<int>(&host.metrics_port_),
-                            "port of the metrics on the address of the host");
-  bool check = false;
-  description.add_options()("check", options::bool_switch(&check),
-                            "validate the settings file and end");
-  BOOST_LEAF_CHECK(ReadCommandLine(description, arguments, 0, 0));
+  BOOST_LEAF_AUTO(values, ReadCommandLine(ServeOptions(), arguments, 0, 0));
+  host.metrics_port_ = values["metrics-port"].as<int>();
   if (host.metrics_port_ < 0 || host.metrics_port_ > 65'535) {
     return Fail(ResultCode::kUsage, "--metrics-port is " + std::to_string(host.metrics_port_) +
                                         ", allowed are 1 to 65535");
   }
+  const std::string level_name = values["log-level"].as<std::string>();
+  const auto level = ValueOf(logging::kLogLevelNames, level_name);
+  if (!level) {
+    return Fail(ResultCode::kUsage, "--log-level is \"" + level_name +
+                                        "\", allowed are debug, info, warning and error");
+  }
   BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
   BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
   BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
-  if (check) {
+  if (values["check"].as<bool>()) {
     std::cout << "settings of " << settings.name_ << " are valid: " << host.settings_path_ << "\n";
     return kExitOk;
   }
-  BOOST_LEAF_CHECK(logging::SetUpLogging({LogLevel::kInfo, {}, true}, settings.name_));
+  BOOST_LEAF_CHECK(logging::SetUpLogging({*level, {}, true}, settings.name_));
   logging::LogEvent(LogLevel::kInfo, "start",
                     {{"version", MONSOONSHELF_VERSION},
                      {"zone", settings.zone_},
@@ -140,7 +141,18 @@
 
 }  // namespace
 
-int ServeCommand(const std::vector<std::string>& arguments) {
+options::options_description ServeOptions() {
+  options::options_description description("Options");
+  description.add_options()(
+      "metrics-port", options::value<int>()->default_value(0),
+      "port of the metrics on the address of the host; 0: as in the settings")(
+      "log-level", options::value<std::string>()->default_value("info"),
+      "least level of the log lines: debug, info, warning or error; info includes served requests")(
+      "check", options::bool_switch(), "validate the settings file and end");
+  return description;
+}
+
+int ServeCommand(const Arguments& arguments) {
   ServingHost host;
   const int code = RunReporting("serve", [&] { return Serve(host, arguments); });
   host.settings_timer_.reset();
--- a/src/app/internal/serve_command.h
+++ b/src/app/internal/serve_command.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <vector>
+#include "app/internal/command.h"
 
 namespace monsoonshelf::app {
 
 // Runs an entry host on the users' platform until it is stopped. Returns the exit code.
-int ServeCommand(const std::vector<std::string>& arguments);
+int ServeCommand(const Arguments& arguments);
+boost::program_options::options_description ServeOptions();
 
 }  // namespace monsoonshelf::app
--- a/src/app/internal/timeline_command.cc
+++ b/src/app/internal/timeline_command.cc
@@ -26,10 +26,7 @@
 }
 
 Result<int> RunTimeline(const Arguments& arguments) {
-  options::options_description description;
-  description.add_options()("html", options::value<std::string>(), "write a page to this file")(
-      "call", options::value<std::string>(), "only the events of one call");
-  BOOST_LEAF_AUTO(values, ReadCommandLine(description, arguments, 1, kMaxLogs));
+  BOOST_LEAF_AUTO(values, ReadCommandLine(TimelineOptions(), arguments, 1, kMaxLogs));
   timeline::Timeline timeline;
   for (const std::string& file : Positional(values)) {
     BOOST_LEAF_CHECK(ReadLogFile(file, timeline));
@@ -55,6 +52,13 @@
 
 }  // namespace
 
+options::options_description TimelineOptions() {
+  options::options_description description("Options");
+  description.add_options()("html", options::value<std::string>(), "write a page to this file")(
+      "call", options::value<std::string>(), "only the events of one call");
+  return description;
+}
+
 int TimelineCommand(const Arguments& arguments) {
   return RunReporting("timeline", [&] { return RunTimeline(arguments); });
 }
--- a/src/app/internal/timeline_command.h
+++ b/src/app/internal/timeline_command.h
@@ -5,5 +5,6 @@
 namespace monsoonshelf::app {
 
 int TimelineCommand(const Arguments& arguments);
+boost::program_options::options_description TimelineOptions();
 
 }  // namespace monsoonshelf::app
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -16,10 +16,17 @@
     left.resize(std::max<std::size_t>(left.size() + 1, 40), ' ');
     out << "  " << left << command.summary_ << "\n";
   }
-  out << "\n" << description;
+  out << "\n" << description << "\nmonsoonshelf COMMAND --help prints the options of a command.\n";
+}
+
+bool AsksForHelp(const Arguments& arguments) {
+  return std::any_of(arguments.begin(), arguments.end(), [](const std::string& argument) {
+    return argument == "--help" || argument == "-h";
+  });
 }
 
 int RunNamed(const std::string& name, const Arguments& arguments) {
+  if (AsksForHelp(arguments) && PrintCommandHelp(std::cout, name)) return kExitOk;
   for (const Command& command : Commands()) {
     if (command.name_ == name) return command.run_(arguments);
   }
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -285,6 +285,8 @@
       return AnswerFailure(503, EndReason::kNoTarget, RetryAfterNoTarget(state_.random_), now);
     }
     const Duration expected = ExpectedTime(*best, inputs);
+    chosen_load_ = FormatLoad(best->load_);
+    expected_ = expected;
     const Admission admission = Admit(*best, inputs, expected, deadline_ - now, ObjectiveLeft(now));
     if (purpose_ == Purpose::kHedge && (IsWorthWidening(*best, inputs) || !admission.admitted_)) {
       EndSelection();
@@ -339,8 +341,6 @@
                        {"why", purpose_ == Purpose::kHedge ? "slow" : last_result_},
                        {"sends", std::to_string(sends_ + 1)}});
   }
-  chosen_load_ = FormatLoad(probe.Load());
-  expected_ = expected;
   const double slowness = probe.Load() ? probe.Load()->slowness_percent_ / 100.0 : 1.0;
   ++sends_;
   ++sends_maybe_run_;
