logging: keep a part of the rate and of the buffer for warnings; gateway: no line per target of the first list

The list has one line as a whole. Warnings and errors now have a reserve of 200 lines and 64 KB, the count of dropped lines comes at most once a second and has time and host.

--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -54,7 +54,8 @@
     target = std::make_shared<TargetState>();
   }
   const bool drains = record.draining_ && !target->record_.draining_;
-  if (target->record_.id_.empty() || drains) {
+  // The first list has one line as a whole (`records_listed`): a start must not log thousands.
+  if ((target->record_.id_.empty() && state.has_targets_) || drains) {
     logging::LogEvent(logging::LogLevel::kInfo, drains ? "target_draining" : "target_known",
                       {{"target", record.id_},
                        {"service", record.service_},
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -185,13 +185,13 @@
       if (!present.contains(id)) missing.push_back(id);
     }
     for (const TargetId& id : missing) DeleteRecord(kind, id);
-    state_.has_targets_ = true;
   } else if (kind == RecordKind::kEvacuation) {
     std::set<std::string> missing = state_.evacuated_zones_;
     for (const std::string& zone : present) missing.erase(zone);
     for (const std::string& zone : missing) DeleteRecord(kind, zone);
   }
   for (const StoredRecord& record : records) PutRecord(kind, record);
+  if (kind == RecordKind::kTarget) state_.has_targets_ = true;
   ReplaceRecords(caches_[kind], records, revision);
   server_.OnChanged(kind);
   on_change_();
--- a/src/logging/internal/bounded_appender.cc
+++ b/src/logging/internal/bounded_appender.cc
@@ -18,6 +18,11 @@
 // An entry host answers some tens of requests a second; a log that grows faster tells nothing new.
 constexpr double kMaxLinesPerSecond = 300;
 constexpr double kMaxBurstLines = 600;
+// Kept for warnings and errors: a list of some thousand targets that changes at once must not push
+// out the lines of requests that fail meanwhile.
+constexpr double kReservedLines = 200;
+constexpr std::size_t kReservedBytes = kMaxBufferedBytes / 4;
+constexpr std::int64_t kReportIntervalUs = 1'000'000;
 // A pipe that is ready to write takes this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t kWriteBytes = 4096;
 // Lines are written together, unless this much has gathered.
@@ -44,8 +49,7 @@
   closed = true;
 }
 
-bool BoundedAppender::TakeToken() {
-  const std::int64_t now = Now().time_since_epoch().count();
+bool BoundedAppender::TakeToken(std::int64_t now, bool is_important) {
   if (tokens_ < 0) {
     tokens_ = kMaxBurstLines;
   } else {
@@ -53,25 +57,32 @@
     tokens_ = std::min(kMaxBurstLines, tokens_ + seconds * kMaxLinesPerSecond);
   }
   filled_ = now;
-  if (tokens_ < 1) return false;
+  if (tokens_ < 1 + (is_important ? 0 : kReservedLines)) return false;
   tokens_ -= 1;
   return true;
 }
 
 void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent& event) {
   const std::string& line = event.getMessage();
-  if (!TakeToken() || buffer_.size() + line.size() + 1 > kMaxBufferedBytes) {
+  const std::int64_t now = Now().time_since_epoch().count();
+  const bool is_important = event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
+  const std::size_t room = kMaxBufferedBytes - (is_important ? 0 : kReservedBytes);
+  if (buffer_.size() + line.size() + 1 > room || !TakeToken(now, is_important)) {
     ++dropped_;
     return;
   }
-  ReportDropped();
+  ReportDropped(now, line);
   buffer_.append(line).push_back('\n');
   if (buffer_.size() >= kFlushBytes) Flush();
 }
 
-void BoundedAppender::ReportDropped() {
-  if (dropped_ == reported_) return;
-  buffer_.append("event=log_lines_dropped count=")
+void BoundedAppender::ReportDropped(std::int64_t now, const std::string& next_line) {
+  if (dropped_ == reported_ || now < next_report_) return;
+  next_report_ = now + kReportIntervalUs;
+  // The time and the host are those of the next line.
+  const auto level = next_line.find("level=");
+  if (level != std::string::npos) buffer_.append(next_line, 0, level);
+  buffer_.append("level=warning event=log_lines_dropped count=")
       .append(std::to_string(dropped_ - reported_))
       .append(" total=")
       .append(std::to_string(dropped_))
--- a/src/logging/tests/bounded_appender_test.cc
+++ b/src/logging/tests/bounded_appender_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(BoundedAppenderTest);
   CPPUNIT_TEST(WritesLinesInOrder);
   CPPUNIT_TEST(NeverWaitsForAReader);
+  CPPUNIT_TEST(KeepsRoomForWarnings);
   CPPUNIT_TEST(BoundsTheRate);
   CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,19 @@
     CPPUNIT_ASSERT(text.find("after\n") != std::string::npos);
   }
 
+  // Guards against failures that can't be explained because a long list of changes came first.
+  void KeepsRoomForWarnings() {
+    for (int i = 0; i < 5000; ++i) Log("time=1 host=h level=info event=target_known");
+    Read();
+    logger_.log(log4cplus::WARN_LOG_LEVEL, "time=2 host=h level=warning event=request_done");
+    appender_->Flush();
+    const std::string text = Read();
+    CPPUNIT_ASSERT(text.find("event=request_done\n") != std::string::npos);
+    // The count of dropped lines is a line like any other.
+    CPPUNIT_ASSERT(text.find("time=2 host=h level=warning event=log_lines_dropped count=") !=
+                   std::string::npos);
+  }
+
   // Guards against a log that grows with the load.
   void BoundsTheRate() {
     for (int i = 0; i < 5000; ++i) Log("short");
