--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "gateway/tests/mocks/fake_format.h"
 #include "gateway/tests/mocks/fake_target.h"
 #include "gateway/tests/mocks/mock_record_store.h"
@@ -63,6 +64,9 @@
   CPPUNIT_TEST(SlowTargetIsHedged);
   CPPUNIT_TEST(TimesOutAtTheRoute);
   CPPUNIT_TEST(CallerThatLeavesEndsTheWork);
+  CPPUNIT_TEST(SendsKeepTheLimitOfTheRoute);
+  CPPUNIT_TEST(ReloadKeepsRequests);
+  CPPUNIT_TEST(ServesAfterTheLossOfAllHosts);
   CPPUNIT_TEST(WorkOfACallerThatLeftIsFinished);
   CPPUNIT_TEST(LeavingTargetsGetNothing);
   CPPUNIT_TEST(EvacuatedZoneGetsNothing);
@@ -220,8 +224,68 @@
     Begin();
     SetBehaviour(Behaviour::kHolds);
     LeaveDuring("/safe/x");
+    const Time left = Now();
     CPPUNIT_ASSERT(
         loop_->RunUntil([&] { return targets_[0]->cancelled_ + targets_[1]->cancelled_ > 0; }));
+    CPPUNIT_ASSERT(Now() - left < milliseconds(500));  // The users' bound.
+    // No second target gets the request of a caller that has left.
+    const int arrivals = Arrivals();
+    loop_->RunFor(milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(arrivals, Arrivals());
+  }
+
+  // Guards against a request that goes to one target after the other while all of them fail.
+  void SendsKeepTheLimitOfTheRoute() {
+    for (const char* name : {"c", "d", "e"}) {
+      targets_.push_back(std::make_unique<FakeTarget>(name, "z"));
+    }
+    Begin();
+    for (const Behaviour behaviour :
+         {Behaviour::kRefuses, Behaviour::kLosesAnswer, Behaviour::kFails}) {
+      SetBehaviour(behaviour);
+      for (int request = 0; request < 5; ++request) {
+        const int before = Arrivals();
+        CPPUNIT_ASSERT(Ask("/safe/x").status_ >= 500);
+        CPPUNIT_ASSERT(Arrivals() - before <= 2);  // max_attempts_ of the route.
+      }
+    }
+  }
+
+  // Guards against connections that are closed, or requests that are lost, by new settings.
+  void ReloadKeepsRequests() {
+    Begin();
+    SetBehaviour(Behaviour::kHolds);
+    Answer answer;
+    Send("/once/x", "body", {}, answer);
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return Held() != nullptr; }));
+    GatewaySettings changed = settings_;
+    changed.bounds_.retry_extra_ = 7;
+    gateway_->Reload(changed);
+    loop_->RunFor(milliseconds(50));
+    CPPUNIT_ASSERT(!answer.done_);
+    FakeTarget* target = Held();
+    target->AnswerHeld(target->held_.begin()->first);
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return answer.done_; }));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status_);
+    SetBehaviour(Behaviour::kAnswers);
+    CPPUNIT_ASSERT_EQUAL(200, Ask("/once/x", "body").status_);
+  }
+
+  // All hosts have lost power: a new process has only the store and the targets. Guards against
+  // knowledge that no host can give it any more.
+  void ServesAfterTheLossOfAllHosts() {
+    Begin();
+    CPPUNIT_ASSERT_EQUAL(200, Ask("/safe/x").status_);
+    client_.reset();
+    gateway_.reset();
+    // The targets turned cold meanwhile, and the peers that wrote the records are gone.
+    for (const auto& target : targets_) target->cold_ms_ = 500;
+    settings_.first_start_ = false;
+    StartHost();
+    const Time started = Now();
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return Ask("/safe/x").status_ == 200; }));
+    CPPUNIT_ASSERT(Now() - started < std::chrono::seconds(15));  // recoveryS of the users' sites.
+    CPPUNIT_ASSERT_EQUAL(200, Ask("/once/x", "body").status_);
   }
 
   // Work that must not run twice isn't broken off half-way.
@@ -443,6 +507,12 @@
     for (const auto& target : targets_) target->behaviour_ = behaviour;
   }
 
+  int Arrivals() const {
+    int arrivals = 0;
+    for (const auto& target : targets_) arrivals += target->arrivals_;
+    return arrivals;
+  }
+
   FakeTarget* Held() {
     for (const auto& target : targets_) {
       if (!target->held_.empty()) return target.get();
