--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -330,9 +330,10 @@
   void ColdTargetGetsOneRequestAtATime() {
     Begin();
     targets_[0]->cold_ms_ = 60'000;
+    targets_[1]->running_ = 2;  // The cold target would be better.
     for (int i = 0; i < 10; ++i) CPPUNIT_ASSERT_EQUAL(200, Ask("/safe/x").status_);
     // One a second at most, the rate that the service allows.
-    CPPUNIT_ASSERT(targets_[0]->arrivals_ <= 2);
+    CPPUNIT_ASSERT(targets_[0]->arrivals_ >= 1 && targets_[0]->arrivals_ <= 2);
   }
 
   void BusyTargetsOfTheZoneAreAvoided() {
