gateway: no false refusal when all sends fail during the search for a second target

The first target of a safe request lost its answer while a second one was looked for. When that search found nobody, the caller got 503, which promises that nothing ran; when it found only a poor target, the request waited for its deadline without any send. The end of a search now looks at whether a send is still under way.

Call::Decide is split into the candidates, the decision and the two ways to end without a send.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -258,7 +258,7 @@
   SetTimer();
 }
 
-void Call::Decide(Time now) {
+std::vector<Candidate> Call::AnsweredCandidates(Time now) const {
   std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < probes_.size(); ++i) {
     if (!probes_[i]->IsAnswered() || probes_[i]->IsRunning()) continue;
@@ -267,6 +267,11 @@
     candidate.load_ = probes_[i]->Load();
     candidates.push_back(candidate);
   }
+  return candidates;
+}
+
+void Call::Decide(Time now) {
+  std::vector<Candidate> candidates = AnsweredCandidates(now);
   const PlacementInputs inputs = Inputs();
   while (true) {
     const auto chosen = ChooseTarget(candidates, inputs);
@@ -278,33 +283,38 @@
     if (widen && round_ < kMaxRounds && asked_.size() < Service().targets_.size()) {
       return NextRound(now);
     }
-    if (!found) {
-      EndSelection();
-      if (!attempts_.empty()) return SetTimer();
-      if (purpose_ == Purpose::kRepeat) return AfterFailure(now);
-      return AnswerFailure(503, EndReason::kNoTarget, RetryAfterNoTarget(state_.random_), now);
-    }
-    const Duration expected = ExpectedTime(*best, inputs);
+    if (!found) return EndWithoutTarget(now);
     chosen_load_ = FormatLoad(best->load_);
-    expected_ = expected;
-    const Admission admission = Admit(*best, inputs, expected, deadline_ - now, ObjectiveLeft(now));
-    if (purpose_ == Purpose::kHedge && (IsWorthWidening(*best, inputs) || !admission.admitted_)) {
+    expected_ = ExpectedTime(*best, inputs);
+    const Admission admission =
+        Admit(*best, inputs, expected_, deadline_ - now, ObjectiveLeft(now));
+    if (!admission.admitted_) return EndWithoutRoom(admission, now);
+    // A second send while the first one works must be worth its place.
+    if (!attempts_.empty() && IsWorthWidening(*best, inputs)) {
       EndSelection();
       return SetTimer();
     }
-    if (!admission.admitted_) {
-      EndSelection();
-      if (!attempts_.empty()) return SetTimer();
-      if (sends_maybe_run_ > 0) return AfterFailure(now);
-      return AnswerFailure(503, EndReason::kOverloaded,
-                           SpreadRetry(admission.retry_after_, Service().turnover_, state_.random_),
-                           now);
-    }
-    if (SendTo(*probes_[best->index_], expected, now)) return;
+    if (SendTo(*probes_[best->index_], expected_, now)) return;
     candidates.erase(best);
   }
 }
 
+void Call::EndWithoutTarget(Time now) {
+  EndSelection();
+  if (!attempts_.empty()) return SetTimer();
+  // The sends may have failed while this search went on, and 503 would promise that nothing ran.
+  if (purpose_ != Purpose::kFirst) return AfterFailure(now);
+  AnswerFailure(503, EndReason::kNoTarget, RetryAfterNoTarget(state_.random_), now);
+}
+
+void Call::EndWithoutRoom(const Admission& admission, Time now) {
+  EndSelection();
+  if (!attempts_.empty()) return SetTimer();
+  if (purpose_ != Purpose::kFirst) return AfterFailure(now);
+  AnswerFailure(503, EndReason::kOverloaded,
+                SpreadRetry(admission.retry_after_, Service().turnover_, state_.random_), now);
+}
+
 void Call::EndSelection() {
   selecting_ = false;
   for (const ProbePtr& probe : probes_) {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -80,6 +80,9 @@
   void NextRound(Time now);
   void OnProbeEnd(Time now);
   void Decide(Time now);
+  std::vector<Candidate> AnsweredCandidates(Time now) const;
+  void EndWithoutTarget(Time now);
+  void EndWithoutRoom(const Admission& admission, Time now);
   void EndSelection();
   bool SendTo(Probe& probe, Duration expected, Time now);
   Duration ObjectiveLeft(Time now) const;
--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(InvalidAnswersAreNotPassedOn);
   CPPUNIT_TEST(ErrorOfTheOnlyTargetIsPassedOn);
   CPPUNIT_TEST(SlowTargetIsHedged);
+  CPPUNIT_TEST(FailureDuringASecondSearchIsNoRefusal);
   CPPUNIT_TEST(TimesOutAtTheRoute);
   CPPUNIT_TEST(CallerThatLeavesEndsTheWork);
   CPPUNIT_TEST(SendsKeepTheLimitOfTheRoute);
@@ -211,6 +212,22 @@
     CPPUNIT_ASSERT(targets_[1]->Runs() >= 4);
   }
 
+  // The first target loses its answer while a second one is looked for and nobody responds. Guards
+  // against a 503, which promises that the request has not run.
+  void FailureDuringASecondSearchIsNoRefusal() {
+    Begin();
+    targets_[0]->behaviour_ = Behaviour::kHolds;
+    targets_[1]->silent_probes_ = true;
+    Answer answer;
+    Send("/safe/x", "", {}, answer);
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return Held() != nullptr; }));
+    const int probes = targets_[1]->probes_;
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return targets_[1]->probes_ > probes; }));
+    Held()->held_.begin()->second->Abort();
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return answer.done_; }));
+    CPPUNIT_ASSERT_EQUAL(502, answer.status_);
+  }
+
   void TimesOutAtTheRoute() {
     Begin();
     SetBehaviour(Behaviour::kHolds);
