gateway, http, dispatch: second reading

Each round of probes decided twice per target whether it may receive the request; once is enough. The two address families share how an address is stored. Comments stand above their fields.

--- a/src/app/tests/commands_test.cc
+++ b/src/app/tests/commands_test.cc
@@ -1,6 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <set>
 #include <sstream>
 #include <string>
 
--- a/src/dispatch/internal/dispatcher_state.h
+++ b/src/dispatch/internal/dispatcher_state.h
@@ -52,10 +52,10 @@
   Time pause_end_{};      // kSuspected: end of the pause.
   int doubts_ = 0;        // Since it was last ready.
   int warm_answers_ = 0;  // kWarming: answers so far.
-  bool unconfirmed_ =
-      false;  // Idle for long, or known only from a peer; one call until it responds.
-  bool confirmation_failed_ =
-      false;  // A probe before the first call of this dispatcher had no response.
+  // Idle for long, or known only from a peer; one call at a time until it responds.
+  bool unconfirmed_ = false;
+  // A probe had no response. Without the assignment a call is then tried instead of another probe.
+  bool confirmation_failed_ = false;
   Health health_;
   ForeignLoad foreign_;
   std::optional<Time> probe_sent_;
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -210,17 +210,18 @@
   std::vector<Candidate> other;
   std::vector<std::uint64_t> affinities;
   for (const auto& [id, target] : Service().targets_) {
-    if (target->record_.zone_ == state_.settings_.zone_ && MaySend(state_, *target, now)) {
-      affinities.push_back(target->affinity_);
-    }
+    if (!MaySend(state_, *target, now)) continue;
+    const bool own_zone = target->record_.zone_ == state_.settings_.zone_;
+    if (own_zone) affinities.push_back(target->affinity_);
+    if (Contains(asked_, id) || Contains(used_, id)) continue;
+    (own_zone ? own : other).push_back(Describe(*target, usable.size(), now));
+    usable.push_back(target);
   }
   const std::uint64_t preferred = PreferredAffinity(std::move(affinities));
-  for (const auto& [id, target] : Service().targets_) {
-    if (Contains(asked_, id) || Contains(used_, id) || !MaySend(state_, *target, now)) continue;
-    Candidate candidate = Describe(*target, usable.size(), now);
-    candidate.preferred_ = target->affinity_ <= preferred;
-    (candidate.own_zone_ ? own : other).push_back(candidate);
-    usable.push_back(target);
+  for (std::vector<Candidate>* candidates : {&own, &other}) {
+    for (Candidate& candidate : *candidates) {
+      candidate.preferred_ = usable[candidate.index_]->affinity_ <= preferred;
+    }
   }
   std::vector<std::size_t> picked = PickProbes(own, kProbesPerRound, state_.random_);
   const bool widen = round_ > 0 || picked.empty();
--- a/src/http/socket_address.h
+++ b/src/http/socket_address.h
@@ -17,24 +17,31 @@
   const sockaddr* Get() const { return reinterpret_cast<const sockaddr*>(&storage_); }
 };
 
-inline SocketAddress ToSocketAddress(const Address& address) {
+namespace detail {
+
+template <typename Value>
+SocketAddress Store(const Value& value) {
   SocketAddress result;
+  std::memcpy(&result.storage_, &value, sizeof(value));
+  result.length_ = sizeof(value);
+  return result;
+}
+
+}  // namespace detail
+
+inline SocketAddress ToSocketAddress(const Address& address) {
   if (address.ipv6_) {
     sockaddr_in6 value{};
     value.sin6_family = AF_INET6;
     value.sin6_port = htons(address.port_);
     inet_pton(AF_INET6, address.ip_.c_str(), &value.sin6_addr);
-    std::memcpy(&result.storage_, &value, sizeof(value));
-    result.length_ = sizeof(value);
-  } else {
-    sockaddr_in value{};
-    value.sin_family = AF_INET;
-    value.sin_port = htons(address.port_);
-    inet_pton(AF_INET, address.ip_.c_str(), &value.sin_addr);
-    std::memcpy(&result.storage_, &value, sizeof(value));
-    result.length_ = sizeof(value);
+    return detail::Store(value);
   }
-  return result;
+  sockaddr_in value{};
+  value.sin_family = AF_INET;
+  value.sin_port = htons(address.port_);
+  inet_pton(AF_INET, address.ip_.c_str(), &value.sin_addr);
+  return detail::Store(value);
 }
 
 }  // namespace monsoonshelf::http
