gateway: log connections and unsent bytes at each step of a stop

The logs did not distinguish the hypotheses of the incident: `stopped` looked the same whether responses were in the output buffers, requests half read, or nothing was left. `lifecycle` now has the numbers of sends in flight, connections by state and unsent bytes; `connections_aborted` is written when the connections are destroyed, as a warning if a request or a response is lost. No change of logic.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -41,6 +41,15 @@
 // Request bodies may use the memory limit divided by this number.
 constexpr int kBodyMemoryShare = 4;
 
+// Fields of a log line.
+KeyValues FormatCounts(const http::ConnectionCounts& counts) {
+  return {{"connections", std::to_string(counts.open_)},
+          {"reading", std::to_string(counts.reading_)},
+          {"busy", std::to_string(counts.busy_)},
+          {"closing", std::to_string(counts.closing_)},
+          {"unsent_bytes", std::to_string(counts.unsent_bytes_)}};
+}
+
 // HTTP server for one kind of short query: directory, readiness, metrics or records.
 class QueryServer : public http::IServerHandler {
  public:
@@ -111,6 +120,14 @@
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
   }
 
+  // A response that is still being sent, or a request that is still being read, is lost here.
+  ~GatewayImpl() override {
+    const http::ConnectionCounts counts = caller_connections_.CountByState();
+    const bool is_loss = counts.reading_ + counts.busy_ + counts.unsent_bytes_ > 0;
+    logging::LogEvent(is_loss ? logging::LogLevel::kWarning : logging::LogLevel::kInfo,
+                      "connections_aborted", FormatCounts(counts));
+  }
+
   Result<void> Open() {
     BOOST_LEAF_ASSIGN(machine_, lifecycle::LoadLifecycle());
     lifecycle_state_ = machine_.Initial();
@@ -146,12 +163,15 @@
   void HandleLifecycleEvent(LifecycleEvent event) {
     const LifecycleState next = machine_.Next(lifecycle_state_, event);
     if (next == lifecycle_state_) return;
-    logging::LogEvent(
-        logging::LogLevel::kInfo, "lifecycle",
-        {{"from", std::string(NameOf(lifecycle::kLifecycleStateNames, lifecycle_state_))},
-         {"to", std::string(NameOf(lifecycle::kLifecycleStateNames, next))},
-         {"cause", std::string(NameOf(lifecycle::kLifecycleEventNames, event))},
-         {"calls", std::to_string(calls_.size())}});
+    KeyValues fields = {
+        {"from", std::string(NameOf(lifecycle::kLifecycleStateNames, lifecycle_state_))},
+        {"to", std::string(NameOf(lifecycle::kLifecycleStateNames, next))},
+        {"cause", std::string(NameOf(lifecycle::kLifecycleEventNames, event))},
+        {"calls", std::to_string(calls_.size())},
+        {"sends_in_flight", std::to_string(CountCallsInFlight())}};
+    const KeyValues connections = FormatCounts(caller_connections_.CountByState());
+    fields.insert(fields.end(), connections.begin(), connections.end());
+    logging::LogEvent(logging::LogLevel::kInfo, "lifecycle", fields);
     lifecycle_state_ = next;
     const Time now = Now();
     switch (next) {
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -226,4 +226,16 @@
   }
 }
 
+ConnectionCounts ServerConnections::CountByState() const {
+  ConnectionCounts counts;
+  counts.open_ = connections_.size();
+  for (const auto& connection : connections_) {
+    if (connection->IsReading()) ++counts.reading_;
+    if (connection->IsBusy()) ++counts.busy_;
+    if (connection->IsClosing()) ++counts.closing_;
+    counts.unsent_bytes_ += connection->UnsentBytes();
+  }
+  return counts;
+}
+
 }  // namespace monsoonshelf::http
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -79,6 +79,11 @@
   // Response bytes that have not been passed to the kernel yet.
   std::size_t UnsentBytes() const { return stream_ ? stream_->UnsentBytes() : 0; }
 
+  // Returns whether bytes of an incomplete request were received.
+  bool IsReading() const { return state_ == State::kReading; }
+  // Returns whether the last response is complete and the connection waits for the peer to close.
+  bool IsClosing() const { return state_ == State::kClosing; }
+
   // Closes the connection if no byte of a next request has been read. Returns whether it was
   // closed.
   bool CloseIfIdle();
@@ -111,6 +116,15 @@
   bool continue_sent_ = false;
 };
 
+// Numbers of open connections by state. The rest are idle.
+struct ConnectionCounts {
+  std::size_t open_ = 0;
+  std::size_t reading_ = 0;  // Bytes of an incomplete request were received.
+  std::size_t busy_ = 0;     // A request is complete, its response is not.
+  std::size_t closing_ = 0;  // The response is complete; the peer has not closed the connection.
+  std::size_t unsent_bytes_ = 0;  // Response bytes that have not been passed to the kernel.
+};
+
 // The connections accepted by one listener. The destructor closes all of them.
 class ServerConnections {
  public:
@@ -134,6 +148,7 @@
   // Closes all idle connections; requests in progress are not affected.
   void CloseIdle();
   std::size_t Count() const { return connections_.size(); }
+  ConnectionCounts CountByState() const;
 
  private:
   friend class ServerConnection;
