--- a/src/gateway/tests/mocks/fake_target.h
+++ b/src/gateway/tests/mocks/fake_target.h
@@ -86,8 +86,8 @@
   void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
-  void RespondToHeld(const std::string& id) {
-    held_.at(id)->Respond(200, {{"Id", id}, {"Signed", "yes"}}, "held");
+  void RespondToHeld(const std::string& id, const std::string& body = "held") {
+    held_.at(id)->Respond(200, {{"Id", id}, {"Signed", "yes"}}, body);
     held_.erase(id);
   }
   int Executions() const {
