gateway: wait for connections, not only for calls, before the end of a stop

Cause: a call ends when its response is handed to its connection, and the host stopped as soon as it had no call. The destructor then aborted every connection, so whatever was still in an output buffer was lost. A request that was partly read, or read but not yet parsed, ended the same way.

Change: the lifecycle has a state `closing` between `draining` and `stopped`. The host stays in it until the last caller connection is gone: closed by the caller, or one second after its output was sent (until now this time counted from the response, also if sending took longer). The stop time still bounds it. The entry host of the command `run` passes through the state at once, as before.

Why it works: a connection is erased only after its output buffer is empty, so a stop that is not forced by the stop time can't discard a response.

--- a/src/entry/internal/entry_host.cc
+++ b/src/entry/internal/entry_host.cc
@@ -135,8 +135,12 @@
       case LifecycleState::kDraining:
         timer_->Set(Now() + kDrainPollInterval);
         break;
+      case LifecycleState::kClosing:
+        forced_ = event == LifecycleEvent::kForced;
+        ApplyEvent(LifecycleEvent::kClosed);
+        break;
       case LifecycleState::kStopped:
-        Finish(event == LifecycleEvent::kForced);
+        Finish(forced_);
         break;
       default:
         break;
@@ -198,6 +202,7 @@
   Time stop_end_ = Time::max();
   Time leave_end_ = Time::max();
   int idle_checks_ = 0;
+  bool forced_ = false;
   std::size_t next_data_task_ = 0;
 };
 
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -28,14 +28,21 @@
 
 // Interval of timeout checks, peer liveness checks and connection pool maintenance.
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+// The same while the host waits for its last calls and connections, so that it ends soon after
+// them.
+constexpr Duration kDrainTickInterval = std::chrono::milliseconds(50);
 // Ticks between two updates of the metrics gauges.
 constexpr int kTicksPerMetricsUpdate = 8;
 // Share of the stop time during which requests are still accepted. In this phase most callers learn
 // about other hosts, because they query the directory again when the time to live of its response
 // ends. Later requests are rejected because they might not finish in time.
 constexpr double kLeavingPhaseShare = 0.45;
-// Subtracted from the stop time, so that the process exits in time even on a slow host.
-constexpr Duration kStopMargin = std::chrono::milliseconds(900);
+// Calls are waited for until this time before the end of the stop time. The rest of the stop time
+// is for their responses.
+constexpr Duration kCallStopMargin = std::chrono::milliseconds(900);
+// Connections are waited for until this time before the end of the stop time, so that the process
+// ends in time even on a slow host.
+constexpr Duration kConnectionStopMargin = std::chrono::milliseconds(300);
 // Maximum number of entry hosts that are notified about a failed target.
 constexpr std::size_t kMaxFailureRecipients = 16;
 // Request bodies may use the memory limit divided by this number.
@@ -188,9 +195,11 @@
         state_.stopping_ = true;
         caller_connections_.SetCloseAfterResponse(true);
         caller_connections_.CloseIdle();
-        CheckDrained();
         break;
-      case LifecycleState::kStopped:
+      case LifecycleState::kClosing:
+        state_.stopping_ = true;
+        caller_connections_.SetCloseAfterResponse(true);
+        if (stop_started_ == Time{}) stop_started_ = now;
         if (CountCallsInFlight() > 0) {
           logging::LogEvent(
               logging::LogLevel::kError, "stop_cut_calls",
@@ -198,6 +207,8 @@
                {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
         }
         break;
+      case LifecycleState::kStopped:
+        break;
     }
   }
 
@@ -207,12 +218,6 @@
                       [](const auto& item) { return item.second->HasSendInFlight(); }));
   }
 
-  void CheckDrained() {
-    if (lifecycle_state_ == LifecycleState::kDraining && calls_.empty()) {
-      HandleLifecycleEvent(LifecycleEvent::kDrained);
-    }
-  }
-
   void OnStateChanged() {
     if (state_.configuration_ != nullptr) {
       caller_connections_.SetLimits(state_.configuration_->configuration_.limits_);
@@ -236,20 +241,33 @@
     store_sync_.OnTick(ReaderCandidates(now), now);
     if (++tick_count_ % kTicksPerMetricsUpdate == 0) UpdateGauges(now);
     AdvanceStop(now);
-    if (!IsStopped()) tick_timer_.Set(now + kTickInterval);
+    if (IsStopped()) return;
+    const bool is_ending = lifecycle_state_ == LifecycleState::kDraining ||
+                           lifecycle_state_ == LifecycleState::kClosing;
+    tick_timer_.Set(now + (is_ending ? kDrainTickInterval : kTickInterval));
   }
 
   void AdvanceStop(Time now) {
     if (stop_started_ == Time{}) return;
     const Duration elapsed = now - stop_started_;
     const Duration stop_time = settings_.bounds_.stop_time_;
-    if (elapsed >= stop_time - kStopMargin) {
+    if (elapsed >= stop_time - kCallStopMargin) {
       HandleLifecycleEvent(LifecycleEvent::kForced);
     } else if (elapsed >= std::chrono::duration_cast<Duration>(stop_time * kLeavingPhaseShare)) {
       HandleLifecycleEvent(LifecycleEvent::kKeepTimeEnded);
-      if (lifecycle_state_ == LifecycleState::kDraining) caller_connections_.CloseIdle();
     }
-    CheckDrained();
+    if (lifecycle_state_ == LifecycleState::kDraining) {
+      caller_connections_.CloseIdle();
+      if (calls_.empty()) HandleLifecycleEvent(LifecycleEvent::kDrained);
+    }
+    if (lifecycle_state_ == LifecycleState::kClosing) {
+      caller_connections_.CloseIdle();
+      // A call ends when its response is in the output buffer of its connection. The connection is
+      // gone when the caller has closed it, or some time after its output was sent.
+      if (caller_connections_.Count() == 0 || elapsed >= stop_time - kConnectionStopMargin) {
+        HandleLifecycleEvent(LifecycleEvent::kClosed);
+      }
+    }
   }
 
   void UpdatePeers(Time now) {
@@ -401,7 +419,6 @@
     calls_by_connection_.erase(call.Connection());
     finished_calls_.push_back(std::move(found->second));
     calls_.erase(found);
-    CheckDrained();
   }
 
   void AdoptProbe(ProbePtr probe) override { detached_probes_.push_back(std::move(probe)); }
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -149,6 +149,7 @@
 
 void ServerConnection::OnOutputFlushed() {
   if (state_ == State::kStreaming) owner_.handler_.OnResponseFlushed(shared_from_this());
+  if (state_ == State::kClosing) state_entered_at_ = Now();  // The linger time begins.
 }
 
 void ServerConnection::OnClosed(Failure failure) {
