gateway: refuse connections once the stop is complete

Until the process ended, up to 50 ms after the end of the stop, the listening socket still accepted connections. Their requests were read, or waited in the listen queue, and the end of the process reset them: a caller can't know whether such a request has run.

Change: while the host closes, it accepts all that is in the listen queue, so that these requests are rejected with 503, and closes the listening socket in the same step in which it stops. A later caller is refused at once and uses another host. StoppedHostRefusesConnections failed before (the connection was accepted) and passes now.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -208,6 +208,8 @@
         }
         break;
       case LifecycleState::kStopped:
+        // A caller that connects from now on is refused at once and can use another host.
+        caller_listener_.reset();
         break;
     }
   }
@@ -264,6 +266,7 @@
       caller_connections_.CloseIdle();
       // A call ends when its response is in the output buffer of its connection. The connection is
       // gone when the caller has closed it, or some time after its output was sent.
+      caller_listener_->AcceptAll();
       if (caller_connections_.Count() == 0 || elapsed >= stop_time - kConnectionStopMargin) {
         HandleLifecycleEvent(LifecycleEvent::kClosed);
       }
--- a/src/gateway/tests/stop_test.cc
+++ b/src/gateway/tests/stop_test.cc
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(ResponseInTheOutputBufferIsCompletedBeforeTheEnd);
   CPPUNIT_TEST(PartlyReadRequestIsRejectedBeforeTheEnd);
   CPPUNIT_TEST(RequestInTheListenQueueIsRejectedBeforeTheEnd);
+  CPPUNIT_TEST(StoppedHostRefusesConnections);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsRejected);
   CPPUNIT_TEST(SecondStopSignalDoesNotCutRequests);
   CPPUNIT_TEST(ForcedEndRespondsToRequestsInFlight);
@@ -157,6 +158,16 @@
     CPPUNIT_ASSERT_EQUAL(503, caller_->status_);
   }
 
+  // Guards against accepting connections between the end of the stop and the end of the process,
+  // when no request can be answered any more.
+  void StoppedHostRefusesConnections() {
+    host_->gateway_->Stop();
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return host_->gateway_->IsStopped(); }));
+    StartCaller();
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return caller_->IsOver(); }));
+    CPPUNIT_ASSERT(caller_->failure_ == http::Failure::kConnect);
+  }
+
   // On a host that lacks processor time, the timer that closes idle connections can run before the
   // sockets are read. Guards against discarding a request that has arrived.
   void RequestThatArrivedBeforeAnIdleCloseIsRejected() {
--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -75,19 +75,28 @@
   if (descriptor_ >= 0) close(descriptor_);
 }
 
+bool Listener::AcceptOne() {
+  const int descriptor = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (descriptor < 0) {
+    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+      logging::LogEvent(logging::LogLevel::kWarning, "accept_failed",
+                        {{"address", address_}, {"error", std::strerror(errno)}});
+    }
+    return false;
+  }
+  on_accept_(descriptor);
+  return true;
+}
+
+std::size_t Listener::AcceptAll() {
+  std::size_t count = 0;
+  while (AcceptOne()) ++count;
+  return count;
+}
+
 gboolean Listener::Dispatch(GSource* source, GSourceFunc, gpointer) {
   Listener* listener = reinterpret_cast<ListenerSource*>(source)->listener_;
-  for (int i = 0; i < kMaxAcceptsPerDispatch; ++i) {
-    const int descriptor =
-        accept4(listener->descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (descriptor < 0) {
-      if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
-        logging::LogEvent(logging::LogLevel::kWarning, "accept_failed",
-                          {{"address", listener->address_}, {"error", std::strerror(errno)}});
-      }
-      break;
-    }
-    listener->on_accept_(descriptor);
+  for (int i = 0; i < kMaxAcceptsPerDispatch && listener->AcceptOne(); ++i) {
   }
   return G_SOURCE_CONTINUE;
 }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,8 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // Accepts all connections in the listen queue. Returns their number.
+  std::size_t AcceptAll();
   // Address with the actual port, as IP:port.
   const std::string& LocalAddress() const { return address_; }
 
@@ -30,6 +33,8 @@
   struct ListenerSource;
   Listener() = default;
   static gboolean Dispatch(GSource* source, GSourceFunc callback, gpointer data);
+  // Returns whether a connection was accepted.
+  bool AcceptOne();
 
   int descriptor_ = -1;
   GSource* source_ = nullptr;
