http: read the socket before a connection is closed as idle

A caller's request that had already arrived was read and discarded, and its connection ended without a response, when the host closed idle connections during a stop or after the idle timeout.

Cause: the timer that closes idle connections is dispatched before the sockets in the same iteration of the main loop. On a host with a tenth of a processor, a request can wait in the socket buffer for hundreds of milliseconds.

Change: an idle connection is closed only if a read finds no byte of a next request. What arrives after that has crossed the close on the network.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -173,6 +173,10 @@
 }
 
 bool ServerConnection::CloseIfIdle() {
+  if (state_ != State::kIdle) return false;
+  // A timer can run before the socket is read. A request that has arrived must not be discarded.
+  const auto self = shared_from_this();
+  stream_->ReceiveNow();
   if (state_ != State::kIdle || !stream_->InputBuffer().empty()) return false;
   CloseGracefully();
   return true;
@@ -182,7 +186,7 @@
   const ServerLimits& limits = owner_.limits_;
   switch (state_) {
     case State::kIdle:
-      if (now - state_entered_at_ > limits.idle_timeout_) CloseGracefully();
+      if (now - state_entered_at_ > limits.idle_timeout_) CloseIfIdle();
       break;
     case State::kReading: {
       const bool has_head = parser_ != nullptr && parser_->HasHead();
--- a/src/http/internal/stream.cc
+++ b/src/http/internal/stream.cc
@@ -180,6 +180,10 @@
   return true;
 }
 
+void Stream::ReceiveNow() {
+  if (connected_ && !closed_) ReadAvailable();
+}
+
 void Stream::Write(std::string_view bytes) {
   if (closed_ || write_closed_) return;
   output_.append(bytes);
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -59,6 +59,9 @@
   std::size_t UnsentBytes() const { return output_.size() - output_begin_; }
   // Buffers bytes and sends as many as the socket accepts. Errors are reported later by OnClosed.
   void Write(std::string_view bytes);
+  // Reads what the kernel has received, and calls the handler as usual, without waiting for the
+  // main loop.
+  void ReceiveNow();
   // Stops or resumes reading, so that TCP flow control limits the peer.
   void PauseReading(bool paused);
   // Shuts down the sending direction once all output is sent, and discards further input.
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(ServerReportsCallerDisconnect);
   CPPUNIT_TEST(ServerRejectsSlowHeaders);
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
+  CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
   CPPUNIT_TEST(AbortedResponseIsNotComplete);
   CPPUNIT_TEST(CloseAfterResponseSendsWholeResponse);
   CPPUNIT_TEST_SUITE_END();
@@ -325,6 +326,29 @@
     CPPUNIT_ASSERT(loop.RunUntil([&] { return !busy.IsUsable(); }));
   }
 
+  // Guards against discarding a request that is in the socket buffer when its connection is closed
+  // as idle, and a timer runs before the socket is read.
+  void RequestThatArrivedBeforeAnIdleCloseIsProcessed() {
+    for (const bool by_timeout : {false, true}) {
+      Loop loop;
+      EchoServer server;
+      ClientConnection connection(server.GetAddress(), {});
+      ExchangeRecorder first;
+      connection.SendRequest(kGet, false, first);
+      CPPUNIT_ASSERT(loop.RunUntil([&] { return first.IsOver(); }));
+      ExchangeRecorder second;
+      connection.SendRequest(kGet, false, second);
+      g_usleep(10'000);
+      if (by_timeout) {
+        server.connections_.CheckTimeouts(Now() + std::chrono::minutes(1));
+      } else {
+        server.connections_.CloseIdle();
+      }
+      CPPUNIT_ASSERT(loop.RunUntil([&] { return second.IsOver(); }));
+      CPPUNIT_ASSERT_EQUAL(200, second.status_);
+    }
+  }
+
   // Guards against a streamed response that looks complete although the target aborted it.
   void AbortedResponseIsNotComplete() {
     Loop loop;
