http: let connections that are closed as idle linger like any other

The linger time of a connection that was closed as idle counted from the begin of its idle time, so that it was closed at the next check. A request that crossed the close was answered with a reset instead of an orderly end of the stream.

Change: the linger time counts from the close. IdleCloseLingersLikeAnyOther failed before (0 connections left instead of 1) and passes now.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -144,6 +144,7 @@
 
 void ServerConnection::CloseGracefully() {
   state_ = State::kClosing;
+  state_entered_at_ = Now();
   stream_->ShutDown();
 }
 
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(ServerRejectsSlowHeaders);
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
+  CPPUNIT_TEST(IdleCloseLingersLikeAnyOther);
   CPPUNIT_TEST(AbortedResponseIsNotComplete);
   CPPUNIT_TEST(CloseAfterResponseSendsWholeResponse);
   CPPUNIT_TEST_SUITE_END();
@@ -349,6 +350,20 @@
     }
   }
 
+  // Guards against a reset instead of an orderly close for a request that crosses the idle close.
+  void IdleCloseLingersLikeAnyOther() {
+    Loop loop;
+    EchoServer server;
+    ClientConnection connection(server.GetAddress(), {});
+    ExchangeRecorder recorder;
+    connection.SendRequest(kGet, false, recorder);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
+    loop.RunFor(std::chrono::milliseconds(1100));  // Longer than the linger time.
+    server.connections_.CloseIdle();
+    server.connections_.CheckTimeouts(Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections_.Count());
+  }
+
   // Guards against a streamed response that looks complete although the target aborted it.
   void AbortedResponseIsNotComplete() {
     Loop loop;
