gateway: a repeated stop signal has no effect

Platforms repeat the signal, and rolling stops overlap. Since the host waits for its connections, it still rejected new requests at once, while callers were still told to use it.

Change: only the first signal counts. The stop time bounds the stop; SIGKILL ends a process at once.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -154,12 +154,7 @@
     return {};
   }
 
-  void Stop() override {
-    HandleLifecycleEvent(lifecycle_state_ == LifecycleState::kStarting ||
-                                 lifecycle_state_ == LifecycleState::kServing
-                             ? LifecycleEvent::kStop
-                             : LifecycleEvent::kForced);
-  }
+  void Stop() override { HandleLifecycleEvent(LifecycleEvent::kStop); }
 
   void Reload(const GatewaySettings& settings) override { settings_.bounds_ = settings.bounds_; }
   bool IsStopped() const override { return lifecycle_state_ == LifecycleState::kStopped; }
--- a/src/gateway/tests/stop_test.cc
+++ b/src/gateway/tests/stop_test.cc
@@ -182,7 +182,8 @@
     CPPUNIT_ASSERT_EQUAL(503, caller_->status_);
   }
 
-  // Guards against cutting the requests in flight when the stop signal is sent again.
+  // Guards against cutting the requests in flight, and against rejecting callers that do not know yet
+  // that the host stops, when the stop signal is sent again.
   void SecondStopSignalDoesNotCutRequests() {
     HoldRequest();
     host_->gateway_->Stop();
@@ -190,6 +191,8 @@
     host_->gateway_->Stop();
     RunUntilStopped(milliseconds(400));
     CPPUNIT_ASSERT(host_->gateway_ != nullptr);
+    target_->behaviour_ = Behaviour::kResponds;
+    CPPUNIT_ASSERT_EQUAL(200, host_->Call("/safe/y").status_);
     target_->RespondToHeld(target_->held_.begin()->first);
     RunUntilStopped(kStopTime, [this] { return caller_->IsOver(); });
     CPPUNIT_ASSERT(caller_->done_);
