gateway: respond to the calls that are left when a stop is forced

At the end of the time allowed for a stop, the connections of the calls in flight were closed without a response and without a `request_done` line, also those of requests that no target had received.

Change: each call ends with a response of its own: 503, which promises that it has not run, if no target can have executed it; 504 if its outcome is unknown; a target's error response if there is one. A streamed response is cut, so that it does not look complete. The calls are ended in the last sixth of the stop time, also where that is less than 0.9 s, and their responses have the rest of it.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -616,6 +616,19 @@
   Finish(0, EndReason::kCallerGone, now);
 }
 
+void Call::OnForcedStop(Time now) {
+  if (is_finished_) return;
+  const bool possibly_executed = possibly_executed_sends_ > 0;
+  CancelAttempts();
+  EndSelection();
+  if (streaming_) {
+    if (connection_ != nullptr) connection_->Abort();
+    return Finish(0, EndReason::kStopping, now);
+  }
+  if (error_response_ != nullptr) return RelayResponse(*error_response_);
+  RespondWithError(possibly_executed ? 504 : 503, EndReason::kStopping, Duration(0), now);
+}
+
 void Call::OnResponseFlushed() {
   if (!streaming_) return;
   for (const auto& attempt : attempts_) attempt->connection_->PauseReading(false);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -37,12 +37,18 @@
 // about other hosts, because they query the directory again when the time to live of its response
 // ends. Later requests are rejected because they might not finish in time.
 constexpr double kLeavingPhaseShare = 0.45;
-// Calls are waited for until this time before the end of the stop time. The rest of the stop time
-// is for their responses.
+// Calls are waited for until this share of the stop time, and until the margin before its end. The
+// rest is for their responses.
+constexpr double kMinCallStopShare = 5.0 / 6;
 constexpr Duration kCallStopMargin = std::chrono::milliseconds(900);
 // Connections are waited for until this time before the end of the stop time, so that the process
 // ends in time even on a slow host.
 constexpr Duration kConnectionStopMargin = std::chrono::milliseconds(300);
+
+Duration CallStopTime(Duration stop_time) {
+  return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
+                  stop_time - kCallStopMargin);
+}
 // Maximum number of entry hosts that are notified about a failed target.
 constexpr std::size_t kMaxFailureRecipients = 16;
 // Request bodies may use the memory limit divided by this number.
@@ -195,12 +201,7 @@
         state_.stopping_ = true;
         caller_connections_.SetCloseAfterResponse(true);
         if (stop_started_ == Time{}) stop_started_ = now;
-        if (CountCallsInFlight() > 0) {
-          logging::LogEvent(
-              logging::LogLevel::kError, "stop_cut_calls",
-              {{"calls", std::to_string(CountCallsInFlight())},
-               {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
-        }
+        EndCalls(now);
         break;
       case LifecycleState::kStopped:
         // A caller that connects from now on is refused at once and can use another host.
@@ -209,6 +210,18 @@
     }
   }
 
+  // Ends the calls that are left when the time allowed for them has ended.
+  void EndCalls(Time now) {
+    if (calls_.empty()) return;
+    logging::LogEvent(logging::LogLevel::kError, "stop_cut_calls",
+                      {{"calls", std::to_string(calls_.size())},
+                       {"sends_in_flight", std::to_string(CountCallsInFlight())},
+                       {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
+    std::vector<CallPtr> calls;
+    for (const auto& [key, call] : calls_) calls.push_back(call);
+    for (const CallPtr& call : calls) call->OnForcedStop(now);
+  }
+
   std::size_t CountCallsInFlight() const {
     return static_cast<std::size_t>(
         std::count_if(calls_.begin(), calls_.end(),
@@ -248,7 +261,7 @@
     if (stop_started_ == Time{}) return;
     const Duration elapsed = now - stop_started_;
     const Duration stop_time = settings_.bounds_.stop_time_;
-    if (elapsed >= stop_time - kCallStopMargin) {
+    if (elapsed >= CallStopTime(stop_time)) {
       HandleLifecycleEvent(LifecycleEvent::kForced);
     } else if (elapsed >= std::chrono::duration_cast<Duration>(stop_time * kLeavingPhaseShare)) {
       HandleLifecycleEvent(LifecycleEvent::kKeepTimeEnded);
