gateway: wait for queries before the end of a stop

The directory, readiness, metrics and record endpoints had the fault of the caller connections: their connections were aborted at the end of a stop, with responses that were not sent yet, queries that were partly read, and waits of followers.

Change: while the host closes, these endpoints accept what is in their listen queues, close idle connections, answer the waiting followers, and are waited for like the caller connections; their listening sockets are closed when the host has stopped.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <utility>
@@ -85,6 +86,15 @@
   void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
+  // Closes every connection after its next response, and those that are idle at once. Returns
+  // whether none is left.
+  bool CloseConnections() {
+    connections_.SetCloseAfterResponse(true);
+    connections_.CloseIdle();
+    if (listener_ != nullptr) listener_->AcceptAll();
+    return connections_.Count() == 0;
+  }
+
   Handler handler_;
   std::function<void(const http::ServerConnectionPtr&)> on_caller_gone_;
   http::ServerConnections connections_;
@@ -206,6 +216,7 @@
       case LifecycleState::kStopped:
         // A caller that connects from now on is refused at once and can use another host.
         caller_listener_.reset();
+        for (QueryServer* server : QueryServers()) server->listener_.reset();
         break;
     }
   }
@@ -241,10 +252,7 @@
     logging::FlushLog();
     ExpireProbes(now);
     caller_connections_.CheckTimeouts(now);
-    directory_server_.connections_.CheckTimeouts(now);
-    readiness_server_.connections_.CheckTimeouts(now);
-    metrics_server_.connections_.CheckTimeouts(now);
-    record_server_.connections_.CheckTimeouts(now);
+    for (QueryServer* server : QueryServers()) server->connections_.CheckTimeouts(now);
     state_.pool_.CloseExpired(now);
     RemoveExpiredTargets(state_, now);
     UpdatePeers(now);
@@ -270,17 +278,29 @@
       caller_connections_.CloseIdle();
       if (calls_.empty()) HandleLifecycleEvent(LifecycleEvent::kDrained);
     }
-    if (lifecycle_state_ == LifecycleState::kClosing) {
-      caller_connections_.CloseIdle();
-      // A call ends when its response is in the output buffer of its connection. The connection is
-      // gone when the caller has closed it, or some time after its output was sent.
-      caller_listener_->AcceptAll();
-      if (caller_connections_.Count() == 0 || elapsed >= stop_time - kConnectionStopMargin) {
-        HandleLifecycleEvent(LifecycleEvent::kClosed);
-      }
+    if (lifecycle_state_ == LifecycleState::kClosing &&
+        (CloseConnections() || elapsed >= stop_time - kConnectionStopMargin)) {
+      HandleLifecycleEvent(LifecycleEvent::kClosed);
     }
   }
 
+  // Returns whether no connection is left. A call ends when its response is in the output buffer of
+  // its connection; the connection is gone when the caller has closed it, or some time after its
+  // output was sent.
+  bool CloseConnections() {
+    caller_connections_.CloseIdle();
+    caller_listener_->AcceptAll();
+    store_sync_.Server().EndWaits();
+    bool all_closed = caller_connections_.Count() == 0;
+    for (QueryServer* server : QueryServers())
+      all_closed = server->CloseConnections() && all_closed;
+    return all_closed;
+  }
+
+  std::array<QueryServer*, 4> QueryServers() {
+    return {&directory_server_, &readiness_server_, &metrics_server_, &record_server_};
+  }
+
   void UpdatePeers(Time now) {
     for (const HostRecord& peer : SelectPeersToPing(peers_, now)) {
       SendToPeer(peer.peer_address_, PeerMessageType::kPing, {});
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -187,6 +187,13 @@
                 [&](const WaitingRequest& item) { return item.connection_ == connection; });
 }
 
+void RecordServer::EndWaits() {
+  const std::list<WaitingRequest> waiting = std::exchange(waiting_, {});
+  for (const WaitingRequest& item : waiting) {
+    RespondWithEvents(item.connection_, item.kind_, item.after_);
+  }
+}
+
 void RecordServer::OnRecordsChanged(RecordKind kind) {
   std::list<WaitingRequest> due;
   for (auto item = waiting_.begin(); item != waiting_.end();) {
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -31,6 +31,8 @@
   void OnCallerDisconnected(const http::ServerConnectionPtr& connection);
   // Responds to the requests that wait for changes of the kind.
   void OnRecordsChanged(RecordKind kind);
+  // Responds to all requests that wait for changes.
+  void EndWaits();
 
  private:
   struct WaitingRequest {
