gateway: end the serving phase of a stop in time

The timer that ends the phase runs every 250 ms, so that a host accepted requests up to that long after it, which might not finish within the stop time. Change: a request that is read in this phase checks the time first. RequestAfterTheServingPhaseIsRejected failed before (200 instead of 503) and passes now.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -418,11 +418,14 @@
   // --- Requests of callers.
 
   void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
+    const Time now = Now();
+    // The timer may be late on a host that lacks processor time.
+    if (lifecycle_state_ == LifecycleState::kLeaving) AdvanceStop(now);
     auto call = std::make_shared<Call>(state_, static_cast<ICallOwner&>(*this), connection,
                                        std::move(request));
     calls_[call.get()] = call;
     calls_by_connection_[connection.get()] = call.get();
-    call->Start(Now());
+    call->Start(now);
   }
 
   void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override {
--- a/src/gateway/tests/stop_test.cc
+++ b/src/gateway/tests/stop_test.cc
@@ -26,6 +26,7 @@
 
 // The host serves for 0.45 of this time. It forces the end in the last sixth.
 constexpr Duration kStopTime = std::chrono::seconds(3);
+constexpr Duration kServingPhase = milliseconds(1350);
 // Times after the stop signal at which the host still serves, and at which it no longer does.
 constexpr Duration kServingTime = milliseconds(1250);
 constexpr Duration kDrainingTime = milliseconds(1800);
@@ -99,6 +100,7 @@
   CPPUNIT_TEST(StoppedHostRefusesConnections);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsRejected);
   CPPUNIT_TEST(SecondStopSignalDoesNotCutRequests);
+  CPPUNIT_TEST(RequestAfterTheServingPhaseIsRejected);
   CPPUNIT_TEST(ForcedEndRespondsToRequestsInFlight);
   CPPUNIT_TEST(PartlyReadQueryIsAnsweredBeforeTheEnd);
   CPPUNIT_TEST_SUITE_END();
@@ -182,8 +184,8 @@
     CPPUNIT_ASSERT_EQUAL(503, caller_->status_);
   }
 
-  // Guards against cutting the requests in flight, and against rejecting callers that do not know yet
-  // that the host stops, when the stop signal is sent again.
+  // Guards against cutting the requests in flight, and against rejecting callers that do not know
+  // yet that the host stops, when the stop signal is sent again.
   void SecondStopSignalDoesNotCutRequests() {
     HoldRequest();
     host_->gateway_->Stop();
@@ -199,6 +201,14 @@
     CPPUNIT_ASSERT_EQUAL(200, caller_->status_);
   }
 
+  // Guards against accepting requests until the next timer: they might not finish in time.
+  void RequestAfterTheServingPhaseIsRejected() {
+    host_->gateway_->Stop();
+    const Time end = Now() + kServingPhase;
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([end] { return Now() >= end; }));
+    CPPUNIT_ASSERT_EQUAL(503, host_->Call("/safe/x").status_);
+  }
+
   // Guards against closing the connections of calls that are still in flight when the time allowed
   // for the stop ends. Their outcome is unknown, which 504 says.
   void ForcedEndRespondsToRequestsInFlight() {
