app: install the signal handlers before the start of serve and run

Cause: serve and run installed their handlers after the listeners were open and all modules had started. A signal that arrived earlier ended the process by its default action: a SIGTERM cut connections that were already accepted, and a SIGHUP of a reload killed the host. Callers saw closed connections and a host that was missing until it was started again. Change: both commands install their handlers before they read the settings. GLib keeps the signal until the main loop runs, so a stop signal during the start leads to the orderly stop and a SIGHUP to a reload. A signal between the start of the process and main() (loading of libraries) still has its default action. Test: tests/process runs the real program. Its settings file is a named pipe, so the program stays in its start while the signal is sent; then it has to stop with exit code 0, or to log the reload.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -249,10 +249,12 @@
 
 Result<int> Run(RunningHost& host, const Arguments& arguments) {
   BOOST_LEAF_AUTO(file, ParseSettingsPath(arguments));
-  host.loop_ = g_main_loop_new(nullptr, FALSE);
-  BOOST_LEAF_CHECK(StartModules(host, file));
+  // Before all work that takes time: a signal that arrives during it is handled when the main loop
+  // runs.
   g_unix_signal_add(SIGTERM, OnStopSignal, &host);
   g_unix_signal_add(SIGINT, OnStopSignal, &host);
+  host.loop_ = g_main_loop_new(nullptr, FALSE);
+  BOOST_LEAF_CHECK(StartModules(host, file));
   // Queue lengths and free slots change without a new view, so they are also reported periodically.
   g_timeout_add_seconds(
       1,
--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -91,8 +91,18 @@
   return G_SOURCE_CONTINUE;
 }
 
+// A signal that arrives before the main loop runs is handled when it runs. Until this call a signal
+// ends the process by its default action, so this comes before all work that takes time.
+void AddSignalHandlers(ServingHost& host) {
+  g_unix_signal_add(SIGTERM, OnStopSignal, &host);
+  g_unix_signal_add(SIGINT, OnStopSignal, &host);
+  g_unix_signal_add(SIGHUP, OnReloadSignal, &host);
+}
+
 Result<int> Serve(ServingHost& host, const Arguments& arguments) {
   BOOST_LEAF_AUTO(values, ParseCommandLine(ServeOptions(), arguments, 0, 0));
+  const bool check = values["check"].as<bool>();
+  if (!check) AddSignalHandlers(host);
   host.metrics_port_ = values["metrics-port"].as<int>();
   if (host.metrics_port_ < 0 || host.metrics_port_ > 65'535) {
     return Fail(ResultCode::kUsage, "--metrics-port is " + std::to_string(host.metrics_port_) +
@@ -107,7 +117,7 @@
   BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
   BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
   BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
-  if (values["check"].as<bool>()) {
+  if (check) {
     std::cout << "settings of " << settings.name_ << " are valid: " << host.settings_path_ << "\n";
     return kExitOk;
   }
@@ -133,9 +143,6 @@
     if (host.gateway_->IsStopped()) return g_main_loop_quit(host.loop_);
     host.stop_timer_->Set(Now() + kStopCheckInterval);
   });
-  g_unix_signal_add(SIGTERM, OnStopSignal, &host);
-  g_unix_signal_add(SIGINT, OnStopSignal, &host);
-  g_unix_signal_add(SIGHUP, OnReloadSignal, &host);
   g_main_loop_run(host.loop_);
   logging::LogEvent(LogLevel::kInfo, "stopped");
   return kExitOk;
--- a/tests/soak/hosts.cc
+++ b/tests/soak/hosts.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "tests/soak/free_port.h"
 
 namespace monsoonshelf::soak {
 
@@ -19,22 +20,6 @@
 constexpr int kStopGraceSeconds = 4;                       // graceS in the settings of each host.
 constexpr Duration kStopMargin = std::chrono::seconds(2);  // For the end of the process after it.
 
-// Returns a free port below the range of outgoing connections: the system could give a port of that
-// range to a connection while the host of the port is down. Each soak uses its own block of ports,
-// because several soaks may run in parallel.
-int FreePort() {
-  constexpr int kFirstPort = 10'000;
-  constexpr int kPortsPerSoak = 100;
-  constexpr int kBlockCount = 200;
-  static int next = kFirstPort + static_cast<int>(getpid() % kBlockCount) * kPortsPerSoak;
-  while (!http::Listener::Open("127.0.0.1:" + std::to_string(next), [](int /*descriptor*/) {})) {
-    ++next;
-  }
-  return next++;
-}
-
-std::string LoopbackAddress(int port) { return "127.0.0.1:" + std::to_string(port); }
-
 }  // namespace
 
 Host::Host(std::string program, std::string name, const std::string& zone, const Address& store,
@@ -43,17 +28,16 @@
       name_(std::move(name)),
       settings_file_(folder + "/" + name_ + ".toml"),
       log_file_(folder + "/" + name_ + ".log"),
-      directory_address_(LoopbackAddress(FreePort())),
+      directory_address_(FreeLoopbackAddress()),
       store_proxy_(store) {
   std::ofstream file(settings_file_);
   file << "nodeName = \"" << name_ << "\"\nip = \"127.0.0.1\"\nzone = \"" << zone
        << "\"\nregion = \"r\"\nportRange = [" << FreePort() << ", 0]\nseeds = []\n"
        << "bounds = [\"graceS=" << kStopGraceSeconds
        << "\",\"retryBudgetRatio=0.2\",\"budgetExtraRetries=60\",\"budgetWindowS=10\"]\n[bind]\n"
-       << "front = \"" << LoopbackAddress(FreePort()) << "\"\nreadiness = \""
-       << LoopbackAddress(FreePort()) << "\"\ncontrol = \"" << LoopbackAddress(FreePort())
-       << "\"\ndirectory = \"" << directory_address_ << "\"\n[platform]\naddress = \""
-       << store_proxy_.GetAddress() << "\"\n";
+       << "front = \"" << FreeLoopbackAddress() << "\"\nreadiness = \"" << FreeLoopbackAddress()
+       << "\"\ncontrol = \"" << FreeLoopbackAddress() << "\"\ndirectory = \"" << directory_address_
+       << "\"\n[platform]\naddress = \"" << store_proxy_.GetAddress() << "\"\n";
 }
 
 Host::~Host() {
