app: end the process without exit handlers and threads of libraries

Cause: after `event=stopped` all sockets of serve were closed, but the process did not end. Callers saw a host that was missing for seconds: failed connections. Change: main() flushes standard output and ends the process with _Exit, for all commands. The log is written and closed before that by TearDownLogging. The hosts are stopped at other times, because each stop ends earlier.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -280,6 +280,9 @@
                              return error.code_ == ResultCode::kUsage ? kExitUsage : kExitFailed;
                            });
   StopModules(host);
+  // The destructor of the metrics endpoint waits for its threads, and they wait up to a second for
+  // each open connection. The process ends without it.
+  static_cast<void>(host.metrics_.release());
   logging::TearDownLogging();
   if (host.loop_ != nullptr) g_main_loop_unref(host.loop_);
   return code;
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 #include "app/internal/command.h"
@@ -61,7 +62,16 @@
   return RunCommandByName(*name, Arguments(name + 1, arguments.end()));
 }
 
+// Ends the process without exit handlers and static destructors. Those of log4cplus wait for its
+// threads, and a process that had stopped did not end before it was killed.
+[[noreturn]] void EndProcess(int code) {
+  std::cout.flush();
+  std::_Exit(code);
+}
+
 }  // namespace
 }  // namespace monsoonshelf::app
 
-int main(int argc, char** argv) { return monsoonshelf::app::Main({argv + 1, argv + argc}); }
+int main(int argc, char** argv) {
+  monsoonshelf::app::EndProcess(monsoonshelf::app::Main({argv + 1, argv + argc}));
+}
