app: do not depend on an open standard output

Cause: two faults of serve and run. (1) SIGPIPE had its default action in serve, and in run until the entry host started: a log line written to a pipe whose reader was gone ended the process, and callers saw all connections closed. (2) With standard output closed at the start, the first descriptor that the process opened got number 1, and log lines were written to it. Today this is an eventfd of the event loop; for a socket, bytes of the log would be sent to a caller. Change: both commands ignore SIGPIPE before they open the log. main() opens /dev/null for each closed standard descriptor. The other commands keep the default action of SIGPIPE, so that they end when the reader of their output does. Test: with the old program all four tests failed: twice "Expected: exit 0, Actual: signal 13", twice "Expected: /dev/null, Actual: anon_inode:[eventfd]". Now 4 of 4 pass.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -253,6 +253,9 @@
   // runs.
   g_unix_signal_add(SIGTERM, OnStopSignal, &host);
   g_unix_signal_add(SIGINT, OnStopSignal, &host);
+  // The first log lines may be written to a pipe without a reader before the entry host starts,
+  // which also ignores this signal.
+  std::signal(SIGPIPE, SIG_IGN);
   host.loop_ = g_main_loop_new(nullptr, FALSE);
   BOOST_LEAF_CHECK(StartModules(host, file));
   // Queue lengths and free slots change without a new view, so they are also reported periodically.
--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -97,6 +97,8 @@
   g_unix_signal_add(SIGTERM, OnStopSignal, &host);
   g_unix_signal_add(SIGINT, OnStopSignal, &host);
   g_unix_signal_add(SIGHUP, OnReloadSignal, &host);
+  // A log line that is written to a pipe without a reader must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 Result<int> Serve(ServingHost& host, const Arguments& arguments) {
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,3 +1,6 @@
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
@@ -62,6 +65,15 @@
   return RunCommandByName(*name, Arguments(name + 1, arguments.end()));
 }
 
+// Opens /dev/null in place of closed standard descriptors. Otherwise the first socket would get
+// such a number, and log lines would be written to it.
+void OpenStandardDescriptors() {
+  for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    // open() returns the lowest free number, which is this one, as the lower ones are open.
+    if (fcntl(descriptor, F_GETFD) < 0) open("/dev/null", O_RDWR);
+  }
+}
+
 // Ends the process without exit handlers and static destructors. Those of log4cplus wait for its
 // threads, and a process that had stopped did not end before it was killed.
 [[noreturn]] void EndProcess(int code) {
@@ -73,5 +85,6 @@
 }  // namespace monsoonshelf::app
 
 int main(int argc, char** argv) {
+  monsoonshelf::app::OpenStandardDescriptors();
   monsoonshelf::app::EndProcess(monsoonshelf::app::Main({argv + 1, argv + argc}));
 }
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -2,8 +2,10 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +16,7 @@
 #include <iterator>
 #include <utility>
 
+#include "base/address.h"
 #include "base/clock.h"
 
 namespace monsoonshelf::process {
@@ -38,6 +41,22 @@
   return true;
 }
 
+bool WaitUntilListening(const std::string& address) {
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(ParseAddress(address)->port_);
+  target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return RunUntil(
+      [&target] {
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int result =
+            connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+        close(descriptor);
+        return result == 0;
+      },
+      5);
+}
+
 TemporaryFolder::TemporaryFolder()
     : path_(std::filesystem::temp_directory_path() / "process.XXXXXX") {
   if (mkdtemp(path_.data()) == nullptr) path_.clear();
@@ -116,6 +135,12 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::string ChildProcess::DescriptorTarget(int descriptor) const {
+  std::error_code error;
+  return std::filesystem::read_symlink(
+      "/proc/" + std::to_string(pid_) + "/fd/" + std::to_string(descriptor), error);
+}
+
 bool ChildProcess::HasEnded() {
   int status = 0;
   if (!status_ && waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -12,6 +12,9 @@
 // Runs the thread-default main context until `condition` is true. Returns false after `seconds`.
 bool RunUntil(const std::function<bool()>& condition, int seconds = 20);
 
+// Waits until a TCP connection to the address on loopback can be opened.
+bool WaitUntilListening(const std::string& address);
+
 // A temporary folder that is removed at the end of the test.
 class TemporaryFolder {
  public:
@@ -51,6 +54,8 @@
   // Returns `exit N` or `signal N`, or `running` if the process does not end in time.
   std::string WaitForEnd();
   std::string Log() const;
+  // Returns what a descriptor of the process refers to, as in /proc; empty if it is closed.
+  std::string DescriptorTarget(int descriptor) const;
 
  private:
   bool HasEnded();
