http: end exchanges whose peer sends bytes without end

Cause: a client connection skipped interim responses and read responses to other requests as long as they came, kept chunk extensions and trailers without end in memory, and HttpClient (store, other hosts) collected bodies without limit. After a first read of a few bytes that are not HTTP, the parser waited for the end of a header. The users report targets that send bytes that are no answer without end, in a head or a body, until the connection is closed.

Change: an exchange fails with `too_large`, and its connection is closed, beyond 64 KiB of header (as before), 64 KiB of interim responses, 8 MiB of responses to other requests, 64 skipped responses, 16 KiB of one chunk header or trailer section, or the limit that the handler sets in OnHead (HttpClient: 16 MiB). The log line `response_too_large` names the part, the bytes and the peer; the result labels of the existing metrics count it. Bytes that cannot begin a status line fail at once. A body without a limit is passed to the handler as before.

Test: EndlessBytesTest plays each of these over a real socket. Endless headers and chunked bodies of callers were limited before.

--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -44,6 +44,10 @@
   void Cancel();
   // Stops or resumes reading of the response, so that a slow receiver limits the peer.
   void PauseReading(bool paused);
+  // Limits the current response to this number of received bytes, including its head and chunk
+  // framing; called by IExchangeHandler::OnHead. A larger response fails with kTooLarge. Without
+  // this call, the handler must bound the memory that it uses for the body.
+  void LimitResponse(std::uint64_t max_bytes) { max_response_bytes_ = max_bytes; }
 
   bool IsIdle() const { return state_ == State::kIdle; }
   bool IsUsable() const { return state_ == State::kIdle && reusable_; }
@@ -63,8 +67,13 @@
   void OnClosed(Failure failure) override;
 
   void ParseInput();
+  void StartResponse();
+  // Starts the next response after an interim or discarded one. Returns false if the exchange
+  // failed because a limit was exceeded.
+  bool SkipResponse(ResponseLimit limit, std::uint64_t skipped_bytes, std::uint64_t max_bytes);
   void FinishExchange();
   void Fail(Failure failure);
+  void FailTooLarge(ResponseLimit limit, std::uint64_t bytes);
   void UpdateExpiry(const ResponseHead& head);
 
   Address address_;
@@ -76,6 +85,11 @@
   bool is_head_ = false;
   bool head_delivered_ = false;
   bool discarding_response_ = false;
+  std::uint64_t response_bytes_ = 0;  // Parsed bytes of the current response.
+  std::uint64_t max_response_bytes_ = 0;
+  std::uint64_t interim_bytes_ = 0;    // Of this exchange.
+  std::uint64_t discarded_bytes_ = 0;  // Of this exchange; complete responses only.
+  int skipped_responses_ = 0;          // Interim and discarded responses of this exchange.
   std::uint64_t bytes_sent_before_ = 0;
   int exchange_count_ = 0;
   Time expires_at_ = Time::max();
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -23,6 +23,11 @@
   bool timed_out_ = false;
 };
 
+// Maximum size of a response that HttpClient accepts, in bytes. A larger one fails with kTooLarge.
+// The largest responses are compressed record lists of other hosts and list pages of the store,
+// which have a few megabytes at most.
+inline constexpr std::uint64_t kMaxClientResponseBytes = std::uint64_t{16} << 20;
+
 // HTTP client for one server, with pooled connections. Requests and responses are buffered whole.
 class HttpClient {
  public:
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -45,14 +45,33 @@
   kClosed,     // The peer closed the connection in order (end of stream).
   kReset,      // The connection was reset or lost, or a socket error occurred.
   kMalformed,  // The peer sent bytes that are not a valid HTTP response.
+  kTooLarge,   // The peer exceeded a ResponseLimit.
 };
 
-inline constexpr EnumNames<Failure, 5> kFailureNames = {{
+inline constexpr EnumNames<Failure, 6> kFailureNames = {{
     {Failure::kNone, "none"},
     {Failure::kConnect, "connect"},
     {Failure::kClosed, "closed"},
     {Failure::kReset, "reset"},
     {Failure::kMalformed, "malformed"},
+    {Failure::kTooLarge, "too_large"},
+}};
+
+// Part of a response whose size is limited; the field `kind` of the log line `response_too_large`.
+enum class ResponseLimit {
+  kHead,       // Status line and header of one response.
+  kInterim,    // Interim responses (1xx) before the final one.
+  kDiscarded,  // Responses to other requests.
+  kFraming,    // A chunk header with its extensions, or the trailer section.
+  kResponse,   // The whole response; see ClientConnection::LimitResponse.
+};
+
+inline constexpr EnumNames<ResponseLimit, 5> kResponseLimitNames = {{
+    {ResponseLimit::kHead, "head"},
+    {ResponseLimit::kInterim, "interim"},
+    {ResponseLimit::kDiscarded, "discarded"},
+    {ResponseLimit::kFraming, "framing"},
+    {ResponseLimit::kResponse, "response"},
 }};
 
 }  // namespace monsoonshelf::http
--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -1,9 +1,11 @@
 #include "http/client_connection.h"
 
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include "base/clock.h"
+#include "logging/logging.h"
 
 namespace monsoonshelf::http {
 
@@ -16,6 +18,14 @@
 // An idle connection is not reused within this time before its keep-alive timeout, because the peer
 // may close it while a request is on its way.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+// Maximum size of all interim responses of an exchange, in bytes.
+constexpr std::uint64_t kMaxInterimBytes = std::uint64_t{64} * 1024;
+// Maximum size of all discarded responses of an exchange, in bytes. The late response to an earlier
+// request may be a download of several megabytes.
+constexpr std::uint64_t kMaxDiscardedBytes = std::uint64_t{8} << 20;
+// Maximum number of interim and discarded responses of an exchange. One read may hold thousands of
+// them, and each costs a move of the bytes behind it.
+constexpr int kMaxSkippedResponses = 64;
 
 }  // namespace
 
@@ -28,9 +38,10 @@
                                    IExchangeHandler& handler) {
   handler_ = &handler;
   is_head_ = is_head;
-  head_delivered_ = false;
-  discarding_response_ = false;
-  parser_ = std::make_unique<ResponseParser>(is_head);
+  interim_bytes_ = 0;
+  discarded_bytes_ = 0;
+  skipped_responses_ = 0;
+  StartResponse();
   bytes_sent_before_ = stream_->BytesSent();
   state_ = State::kBusy;
   ++exchange_count_;
@@ -65,12 +76,23 @@
     std::string& input = stream_->InputBuffer();
     const std::size_t consumed = parser_->Feed(input);
     input.erase(0, consumed);
-    if (parser_->Error() != ParseError::kNone) return Fail(Failure::kMalformed);
+    response_bytes_ += consumed;
+    switch (parser_->Error()) {
+      case ParseError::kNone:
+        break;
+      case ParseError::kHeaderTooLarge:
+        return FailTooLarge(ResponseLimit::kHead, response_bytes_ + input.size());
+      case ParseError::kBodyTooLarge:
+        return FailTooLarge(ResponseLimit::kFraming, input.size());
+      case ParseError::kMalformed:
+        return Fail(Failure::kMalformed);
+    }
     if (parser_->HasHead() && !head_delivered_) {
       ResponseHead& head = parser_->Head();
       if (head.status_ < kFirstFinalStatus) {
         if (!parser_->IsDone()) return;
-        parser_ = std::make_unique<ResponseParser>(is_head_);
+        interim_bytes_ += response_bytes_;
+        if (!SkipResponse(ResponseLimit::kInterim, interim_bytes_, kMaxInterimBytes)) return;
         if (input.empty()) return;
         continue;
       }
@@ -81,23 +103,46 @@
       if (!*alive || state_ != State::kBusy) return;
       if (discarding_response_) reusable_ = false;
     }
+    if (discarding_response_) {
+      parser_->Body().clear();
+      const std::uint64_t discarded = discarded_bytes_ + response_bytes_;
+      if (discarded > kMaxDiscardedBytes) return FailTooLarge(ResponseLimit::kDiscarded, discarded);
+      if (!parser_->IsDone()) return;
+      discarded_bytes_ = discarded;
+      if (!SkipResponse(ResponseLimit::kDiscarded, discarded, kMaxDiscardedBytes)) return;
+      if (input.empty()) return;
+      continue;
+    }
+    if (response_bytes_ > max_response_bytes_) {
+      return FailTooLarge(ResponseLimit::kResponse, response_bytes_);
+    }
     if (!parser_->Body().empty()) {
-      if (discarding_response_) {
-        parser_->Body().clear();
-      } else {
-        handler_->OnBody(parser_->Body());
-        if (!*alive || state_ != State::kBusy) return;
-      }
+      handler_->OnBody(parser_->Body());
+      if (!*alive || state_ != State::kBusy) return;
     }
-    if (!parser_->IsDone()) return;
-    if (!discarding_response_) return FinishExchange();
-    parser_ = std::make_unique<ResponseParser>(is_head_);
-    head_delivered_ = false;
-    discarding_response_ = false;
-    if (stream_->InputBuffer().empty()) return;
+    if (parser_->IsDone()) FinishExchange();
+    return;
   }
 }
 
+void ClientConnection::StartResponse() {
+  parser_ = std::make_unique<ResponseParser>(is_head_);
+  head_delivered_ = false;
+  discarding_response_ = false;
+  response_bytes_ = 0;
+  max_response_bytes_ = std::numeric_limits<std::uint64_t>::max();
+}
+
+bool ClientConnection::SkipResponse(ResponseLimit limit, std::uint64_t skipped_bytes,
+                                    std::uint64_t max_bytes) {
+  if (skipped_bytes > max_bytes || ++skipped_responses_ > kMaxSkippedResponses) {
+    FailTooLarge(limit, skipped_bytes);
+    return false;
+  }
+  StartResponse();
+  return true;
+}
+
 void ClientConnection::UpdateExpiry(const ResponseHead& head) {
   Duration keep_alive_timeout = kDefaultKeepAliveTimeout;
   const std::string* value = FindHeader(head.headers_, "Keep-Alive");
@@ -136,6 +181,15 @@
   if (handler != nullptr) handler->OnFailed(failure, sent);
 }
 
+void ClientConnection::FailTooLarge(ResponseLimit limit, std::uint64_t bytes) {
+  logging::LogEvent(logging::LogLevel::kWarning, "response_too_large",
+                    {{"peer", FormatAddress(address_)},
+                     {"kind", std::string(NameOf(kResponseLimitNames, limit))},
+                     {"bytes", std::to_string(bytes)},
+                     {"skipped_responses", std::to_string(skipped_responses_)}});
+  Fail(Failure::kTooLarge);
+}
+
 void ClientConnection::OnClosed(Failure failure) {
   if (state_ != State::kBusy) {
     state_ = State::kClosed;
--- a/src/http/internal/http_client.cc
+++ b/src/http/internal/http_client.cc
@@ -12,6 +12,7 @@
   bool OnHead(ResponseHead& head) override {
     result_.status_ = head.status_;
     result_.headers_ = head.headers_;
+    connection_->LimitResponse(kMaxClientResponseBytes);
     return true;
   }
   void OnBody(std::string& body) override {
@@ -21,7 +22,8 @@
   void OnDone() override { client_->FinishCall(id_, std::move(result_)); }
   void OnFailed(Failure failure, bool /*sent*/) override {
     const bool reused_connection_failed =
-        reused_connection_ && result_.status_ == 0 && failure != Failure::kMalformed;
+        reused_connection_ && result_.status_ == 0 &&
+        (failure == Failure::kClosed || failure == Failure::kReset);
     if (reused_connection_failed && idempotent_) {
       client_->pool_.Release(connection_);
       client_->pool_.CloseIdleConnections(FormatAddress(client_->address_));
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -13,6 +13,9 @@
 namespace bhttp = boost::beast::http;
 using beast::string_view;
 
+// Every supported status line begins with this.
+constexpr std::string_view kStatusLinePrefix = "HTTP/1.";
+
 std::string ToString(string_view text) { return {text.data(), text.size()}; }
 
 // Beast parser that stores the start line, headers and body of a message. Serves requests and
@@ -31,6 +34,12 @@
       if (code) SetError(code);
       if (count == 0) break;
     }
+    // Beast limits the header, but neither chunk headers nor trailers, which it leaves unparsed
+    // until they are complete.
+    if (error_ == ParseError::kNone && this->is_header_done() && !this->is_done() &&
+        this->chunked() && bytes.size() - consumed > kMaxChunkFramingBytes) {
+      error_ = ParseError::kBodyTooLarge;
+    }
     return consumed;
   }
 
@@ -142,6 +151,12 @@
 ResponseParser::~ResponseParser() = default;
 
 std::size_t ResponseParser::Feed(std::string_view bytes) {
+  // After a short first read, Beast waits for the end of the header before it checks the version.
+  const std::string_view begin = bytes.substr(0, kStatusLinePrefix.size());
+  if (parser_->status_ == 0 && !kStatusLinePrefix.starts_with(begin)) {
+    parser_->error_ = ParseError::kMalformed;
+    return 0;
+  }
   const std::size_t consumed = parser_->FeedBytes(bytes);
   if (!parser_->has_head_ && parser_->is_header_done()) {
     parser_->has_head_ = true;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -12,7 +12,8 @@
 
 // Incremental HTTP/1.1 parsers that do not access sockets. A parser object parses one message. Feed
 // returns the number of consumed bytes; the caller passes the remaining bytes again, followed by
-// the bytes received since.
+// the bytes received since. Error() is kHeaderTooLarge if the header exceeds its limit, and
+// kBodyTooLarge if the body exceeds its limit or kMaxChunkFramingBytes is exceeded.
 
 class RequestParser {
  public:
@@ -52,5 +53,7 @@
 
 // Maximum size of a response header, in bytes.
 inline constexpr std::size_t kMaxResponseHeaderBytes = std::size_t{64} * 1024;
+// Maximum size of a chunk header with its extensions, or of the trailer section, in bytes.
+inline constexpr std::size_t kMaxChunkFramingBytes = std::size_t{16} * 1024;
 
 }  // namespace monsoonshelf::http
