gateway: end attempts whose target sends bytes without end

Cause: the body of a response that is not forwarded in pieces (an error, unsigned, encoded, misdirected, not executed) was collected without limit until the timeout of the route, and so was any body after the caller of a non-idempotent request had left. The response to a probe had no limit either, and a probe that failed after its head still counted as answered, so that the target could be chosen for a request.

Callers saw 504 at the timeout of the route, and the process grew by what the target sent.

Change: a response that may be forwarded only when it is complete (3xx, 4xx, signed 5xx) has 1 MiB, one that cannot be forwarded and the response to a probe have 128 KiB, and bodies that nobody receives are not stored. If the head shows that the response cannot be forwarded, the attempt ends 50 ms later even if the body is slow, except that a non-idempotent request that the target states not to have executed keeps waiting for the end of that statement. An exceeded limit closes the connection and is a failure of the target (`send_failed result=too_large`); an idempotent request goes to another target, a non-idempotent one gets 502. A failed probe is no longer answered. A 504 of the target counts as its timeout only if the response was complete.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -29,6 +29,15 @@
 // Response bodies up to this size are forwarded when they are complete, so that the request can be
 // retried if the response breaks off. Larger ones are streamed.
 constexpr std::size_t kMaxBodyBuffer = std::size_t{1} << 20;
+// Maximum size of the response with an error status that is kept in case all attempts fail, in
+// bytes, and of other responses that may be forwarded only when they are complete (3xx, 4xx).
+constexpr std::uint64_t kMaxCompleteResponseBytes = kMaxBodyBuffer;
+// Maximum size of a response that cannot be forwarded, in bytes. It is read to its end so that the
+// connection can be reused.
+constexpr std::uint64_t kMaxUnusableResponseBytes = std::uint64_t{128} * 1024;
+// Time that the rest of such a response has after its head. A target sends its short responses at
+// once.
+constexpr Duration kUnusableResponseGrace = std::chrono::milliseconds(50);
 // Responses after which the service time is considered known.
 constexpr int kMinServiceTimeSamples = 5;
 // Status with which a target responds when the deadline of the request has passed.
@@ -91,6 +100,14 @@
     }
     response_ = std::move(response);
     head_ = head;
+    if (!IsForwardable()) {
+      connection_->LimitResponse(IsUsable() ? kMaxCompleteResponseBytes
+                                            : kMaxUnusableResponseBytes);
+    }
+    if (!IsUsable() && (IsIdempotent(call_.route_->kind_) || !IsNotExecuted())) {
+      give_up_at_ = Now() + kUnusableResponseGrace;
+      call_.SetTimer();
+    }
     return true;
   }
 
@@ -101,7 +118,7 @@
       if (call_.connection_->UnsentBytes() > kMaxUnsentBytes) connection_->PauseReading(true);
       return;
     }
-    body_.append(body);
+    if (IsUsable() && call_.connection_ != nullptr) body_.append(body);
     body.clear();
     if (body_.size() <= kMaxBodyBuffer || !IsForwardable() || call_.connection_ == nullptr) return;
     streamed_ = true;
@@ -129,6 +146,14 @@
     return head_.status_ >= 200 && head_.status_ < 300 && response_.is_signed_ &&
            !response_.is_encoded_ && !response_.not_run_;
   }
+  // Returns whether the target states that it did not execute the request.
+  bool IsNotExecuted() const { return response_.not_run_ || response_.misdirected_; }
+  // Returns whether the response may be forwarded when it is complete, at least if all other
+  // attempts fail.
+  bool IsUsable() const {
+    if (!response_.is_signed_ || IsNotExecuted()) return false;
+    return !response_.is_encoded_ || (head_.status_ >= 300 && head_.status_ < 500);
+  }
 
   Call& call_;
   TargetPtr target_;
@@ -138,6 +163,8 @@
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
+  // When the attempt fails although its response is not complete, because it is not usable.
+  Time give_up_at_ = Time::max();
   bool complete_ = false;
   bool streamed_ = false;
 };
@@ -395,6 +422,7 @@
   Time next = deadline_;
   if (selecting_) next = std::min(next, round_end_);
   next = std::min(next, hedge_at_);
+  for (const auto& attempt : attempts_) next = std::min(next, attempt->give_up_at_);
   timer_.Set(next);
 }
 
@@ -403,6 +431,8 @@
   if (is_finished_) return;
   const Time now = Now();
   if (now >= deadline_) return OnDeadline(now);
+  EndUnusableResponses(now);
+  if (is_finished_) return;
   if (selecting_ && now >= round_end_) {
     EvaluateRound(now);
   } else if (now >= hedge_at_) {
@@ -414,6 +444,15 @@
   if (!is_finished_) SetTimer();
 }
 
+void Call::EndUnusableResponses(Time now) {
+  const auto attempts = attempts_;
+  for (const auto& attempt : attempts) {
+    if (is_finished_ || now < attempt->give_up_at_) continue;
+    attempt->connection_->Cancel();
+    OnAttemptResponse(*attempt);
+  }
+}
+
 void Call::OnDeadline(Time now) {
   if (streaming_) {
     // A streamed response may continue after the deadline, as long as the caller and the target
@@ -463,7 +502,7 @@
     return RelayResponse(attempt);
   }
   if (attempt.response_.misdirected_) attempt.target_->misdirected_ = true;
-  if (attempt.response_.not_run_ || attempt.response_.misdirected_) {
+  if (attempt.IsNotExecuted()) {
     --possibly_executed_sends_;
     return OnAttemptFailed(attempt, attempt.response_.misdirected_ ? "misdirected" : "refused");
   }
@@ -487,7 +526,7 @@
                      {"status", std::to_string(attempt.head_.status_)},
                      {"after_ms", FormatMilliseconds(now - attempt.sent_at_)},
                      {"kind", std::string(NameOf(kRequestKindNames, route_->kind_))}});
-  if (attempt.head_.status_ == kGatewayTimeoutStatus) {
+  if (attempt.head_.status_ == kGatewayTimeoutStatus && result == "error") {
     CountTargetTimeout(*attempt.target_, now - attempt.sent_at_, now);
   } else if (result == "not_sent") {
     RecordProbeFailure(attempt.target_->health_, now);
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -91,6 +91,8 @@
   void OnTimer();
   void SetTimer();
   void OnDeadline(Time now);
+  // Ends the attempts whose response is not usable and did not end within its grace period.
+  void EndUnusableResponses(Time now);
 
   void CountTargetTimeout(TargetState& target, Duration duration, Time now);
   void OnAttemptResponse(Attempt& attempt);
--- a/src/gateway/internal/probe.cc
+++ b/src/gateway/internal/probe.cc
@@ -7,6 +7,13 @@
 
 namespace monsoonshelf::gateway {
 
+namespace {
+
+// Maximum size of the response to a probe, in bytes. Its result is in the header.
+constexpr std::uint64_t kMaxProbeResponseBytes = std::uint64_t{128} * 1024;
+
+}  // namespace
+
 Probe::Probe(GatewayState& state, TargetPtr target, OnEnd on_end)
     : state_(state), target_(std::move(target)), on_end_(std::move(on_end)) {}
 
@@ -23,6 +30,7 @@
 }
 
 bool Probe::OnHead(http::ResponseHead& head) {
+  connection_->LimitResponse(kMaxProbeResponseBytes);
   const ProbeResult result = state_.format_.ReadProbeResponse(head);
   if (result.target_ && *result.target_ != target_->record_.id_) {
     if (!target_->misdirected_) {
@@ -56,7 +64,9 @@
   const auto self = shared_from_this();
   state_.pool_.Release(connection_);
   connection_.reset();
-  if (reused_connection_ && on_end_ != nullptr && failure != http::Failure::kMalformed) {
+  answered_ = false;
+  if (reused_connection_ && on_end_ != nullptr && failure != http::Failure::kMalformed &&
+      failure != http::Failure::kTooLarge) {
     // The target may have closed its idle connections; a new connection shows whether it is alive.
     state_.pool_.CloseIdleConnections(FormatAddress(target_->address_));
     if (Start(Now())) return;
@@ -69,6 +79,7 @@
 void Probe::Expire(Time now) {
   if (!running_) return;
   const auto self = shared_from_this();
+  answered_ = false;
   state_.metrics_.CountProbe("timeout");
   RecordProbeFailure(target_->health_, now);
   connection_->Cancel();
