gateway: forward one attempt only once a response is streamed

Cause: a response that passes 1 MiB is streamed to the caller while a second attempt of the same idempotent request, or the search for its target, went on.

Callers saw a response that never ended if the other attempt was complete first: it cancelled the streamed one and could not be sent any more. If both passed 1 MiB, the caller got the bytes of both in one response. A search that was in progress sent the request once more.

Change: the first attempt that starts to stream ends the search and cancels the other attempts.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -121,12 +121,7 @@
     if (IsUsable() && call_.connection_ != nullptr) body_.append(body);
     body.clear();
     if (body_.size() <= kMaxBodyBuffer || !IsForwardable() || call_.connection_ == nullptr) return;
-    streamed_ = true;
-    call_.streaming_ = true;
-    call_.connection_->BeginChunkedResponse(head_.status_,
-                                            call_.state_.format_.HeadersForCaller(head_));
-    call_.connection_->WriteChunk(body_);
-    body_.clear();
+    call_.BeginStreaming(*this);
   }
 
   void OnDone() override {
@@ -572,15 +567,30 @@
   attempts_.erase(found);
 }
 
-void Call::CancelAttempts() {
+void Call::CancelAttempts(const Attempt* kept) {
   // Closing the connection cancels the request at the target.
-  for (const auto& attempt : attempts_) {
+  std::erase_if(attempts_, [this, kept](const std::shared_ptr<Attempt>& attempt) {
+    if (attempt.get() == kept) return false;
     --attempt->target_->in_flight_;
     attempt->connection_->Cancel();
     state_.pool_.Release(attempt->connection_);
     finished_attempts_.push_back(attempt);
-  }
-  attempts_.clear();
+    return true;
+  });
+}
+
+void Call::BeginStreaming(Attempt& attempt) {
+  // The caller gets one response only, so no other attempt may continue or start.
+  streaming_ = true;
+  attempt.streamed_ = true;
+  hedge_at_ = Time::max();
+  if (selecting_) EndSelection();
+  CancelAttempts(&attempt);
+  connection_->BeginChunkedResponse(attempt.head_.status_,
+                                    state_.format_.HeadersForCaller(attempt.head_));
+  connection_->WriteChunk(attempt.body_);
+  attempt.body_ = {};
+  SetTimer();
 }
 
 void Call::RelayResponse(Attempt& attempt) {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -100,7 +100,10 @@
   // Retries after a failed attempt if this is allowed; otherwise responds with an error.
   void RetryOrFail(Time now);
   void RemoveAttempt(Attempt& attempt);
-  void CancelAttempts();
+  // Cancels all attempts except `kept`.
+  void CancelAttempts(const Attempt* kept = nullptr);
+  // Forwards the response of `attempt` in pieces from now on.
+  void BeginStreaming(Attempt& attempt);
 
   void RelayResponse(Attempt& attempt);
   void RespondWithError(int status, EndReason reason, Duration retry_after, Time now);
--- a/src/gateway/tests/mocks/raw_target.h
+++ b/src/gateway/tests/mocks/raw_target.h
@@ -29,6 +29,7 @@
   }
   // Returns whether the connection of the last request is open.
   bool IsRequestOpen() const { return request_ != nullptr && !request_->closed_; }
+  bool HasUnsentBytes() const { return request_->stream_->UnsentBytes() > 0; }
   std::uint64_t BytesSent() const {
     return request_ != nullptr ? request_->stream_->BytesSent() : 0;
   }
