gateway: end a streamed response that stalls after its timeout

Cause: when the deadline of a streamed response passed, it was extended by 30 s again and again. A target that went silent in the middle of a stream, with its connection open, kept the request, its connections and a place at the target until the caller left.

Callers saw a response that stopped and never ended.

Change: after the deadline, each period of `stream_stall_timeout_` (30 s, as before) needs progress: bytes from the target or bytes that the caller's socket accepted. Without it the connections are closed, so that the caller sees an incomplete response. If all bytes have reached the caller's socket, the target has failed (`send_failed result=stalled`, reason target_failed), otherwise the caller does not read (reason timed_out).

Test: StreamedResponseTest. The suspicion that an incomplete response looks complete was not confirmed: with a length or chunks, closed or reset, it ended without its last chunk before and after this change.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -142,6 +142,9 @@
   int capacity_ = 0;
   bool is_bootstrap_ = false;  // First start of the fleet: no host is registered.
   std::int64_t memory_bytes_ = std::int64_t{256} << 20;
+  // Once the deadline of its request has passed, a streamed response is ended after this time
+  // without progress.
+  Duration stream_stall_timeout_ = std::chrono::seconds(30);
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -112,6 +112,7 @@
   }
 
   void OnBody(std::string& body) override {
+    received_bytes_ += body.size();
     if (streamed_) {
       call_.connection_->WriteChunk(body);
       body.clear();
@@ -158,6 +159,7 @@
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
+  std::uint64_t received_bytes_ = 0;  // Of the body.
   // When the attempt fails although its response is not complete, because it is not usable.
   Time give_up_at_ = Time::max();
   bool complete_ = false;
@@ -449,12 +451,7 @@
 }
 
 void Call::OnDeadline(Time now) {
-  if (streaming_) {
-    // A streamed response may continue after the deadline, as long as the caller and the target
-    // keep the connections open.
-    deadline_ = now + std::chrono::seconds(30);
-    return SetTimer();
-  }
+  if (streaming_) return OnStreamDeadline(now);
   for (const auto& attempt : attempts_) {
     state_.metrics_.CountSend(service_, "timeout");
     CountTargetTimeout(*attempt->target_, now - attempt->sent_at_, now);
@@ -467,6 +464,26 @@
   RespondWithError(503, EndReason::kTooLate, Duration(0), now);
 }
 
+// A download may take longer than its deadline, and the silence of a target must not end a response
+// before the deadline. After it, a response without any progress would keep the request for ever.
+void Call::OnStreamDeadline(Time now) {
+  Attempt& attempt = *attempts_.front();
+  const auto position = std::make_pair(attempt.received_bytes_, connection_->UnsentBytes());
+  if (position != last_stream_position_) {
+    last_stream_position_ = position;
+    deadline_ = now + state_.settings_.stream_stall_timeout_;
+    return SetTimer();
+  }
+  if (connection_->UnsentBytes() == 0) {
+    attempt.connection_->Cancel();
+    return OnAttemptFailed(attempt, "stalled");
+  }
+  // The caller does not read.
+  CancelAttempts();
+  connection_->Abort();
+  Finish(0, EndReason::kTimedOut, now);
+}
+
 void Call::CountTargetTimeout(TargetState& target, Duration duration, Time now) {
   // If the deadline was too short from the start, the timeout is not a failure of the target.
   if (duration < MakePlacementInputs().service_time_ * 3) return;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/enum_names.h"
@@ -91,6 +92,7 @@
   void OnTimer();
   void SetTimer();
   void OnDeadline(Time now);
+  void OnStreamDeadline(Time now);
   // Ends the attempts whose response is not usable and did not end within its grace period.
   void EndUnusableResponses(Time now);
 
@@ -149,6 +151,9 @@
   Duration retry_after_{};                   // Sent to a rejected caller.
   std::shared_ptr<Attempt> error_response_;  // Complete response of a target with an error status.
   bool streaming_ = false;
+  // Bytes received from the target and bytes that the caller's socket has not accepted yet, when
+  // the deadline of the streamed response was last extended.
+  std::optional<std::pair<std::uint64_t, std::size_t>> last_stream_position_;
   eventloop::Timer timer_;
 };
 
--- a/src/gateway/tests/streamed_response_test.cc
+++ b/src/gateway/tests/streamed_response_test.cc
@@ -56,6 +56,10 @@
   CPPUNIT_TEST(FirstStreamedResponseCancelsTheOtherAttempt);
   CPPUNIT_TEST(ResponsesOfTwoAttemptsAreNotMixed);
   CPPUNIT_TEST(StreamedResponseEndsTheSearchForAnotherTarget);
+  CPPUNIT_TEST(TargetThatBreaksOffLeavesAnIncompleteResponse);
+  CPPUNIT_TEST(SilenceDoesNotEndAStreamedResponseAtItsTimeout);
+  CPPUNIT_TEST(SilenceAfterTheTimeoutEndsAStreamedResponse);
+  CPPUNIT_TEST(CallerThatStopsReadingEndsAStreamedResponse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,7 +136,99 @@
     CPPUNIT_ASSERT_EQUAL(0, b_->requests_received_);
   }
 
+  // Guards against an incomplete response that looks complete to the caller.
+  void TargetThatBreaksOffLeavesAnIncompleteResponse() {
+    for (const bool reset : {false, true}) {
+      for (const bool has_length : {false, true}) {
+        RestartWithOneTarget();
+        RawCaller caller(host_->settings_.front_address_, GatewayHost::FormatRequest("/safe/x"));
+        CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+        if (has_length) {
+          a_->request_->Write(a_->SignedHead("Content-Length: 4000000\r\n") +
+                              std::string(kStreamedBytes, 'a'));
+        } else {
+          BeginStream(*a_, 'a');
+        }
+        CPPUNIT_ASSERT(
+            host_->loop_.RunUntil([&] { return caller.received_.size() > kStreamedBytes; }));
+        if (reset) {
+          a_->request_->Reset();
+        } else {
+          a_->request_->Close();
+        }
+        CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return caller.closed_; }));
+        // The body is chunked, so only a last chunk would make it complete.
+        CPPUNIT_ASSERT(caller.received_.find(kChunked) != std::string::npos);
+        CPPUNIT_ASSERT(!caller.received_.ends_with(kLastChunk));
+      }
+    }
+  }
+  // The rules of the users forbid ending a response because its target is silent, and a download
+  // may take longer than the timeout of its route.
+  void SilenceDoesNotEndAStreamedResponseAtItsTimeout() {
+    RestartWithOneTarget();
+    Response response;
+    host_->Send("/brief/x", "body", response);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+    BeginStream(*a_, 'a');
+    host_->loop_.RunFor(milliseconds(1500));  // The timeout of the route is 700 ms.
+    CPPUNIT_ASSERT(!response.done_);
+    a_->request_->Write(kLastChunk);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return response.done_; }));
+    CPPUNIT_ASSERT_EQUAL(200, response.status_);
+    CPPUNIT_ASSERT_EQUAL(kStreamedBytes, response.body_.size());
+  }
+
+  // Guards against a request that a silent target keeps open for ever.
+  void SilenceAfterTheTimeoutEndsAStreamedResponse() {
+    host_->settings_.stream_stall_timeout_ = milliseconds(1500);
+    RestartWithOneTarget();
+    RawCaller caller(host_->settings_.front_address_,
+                     GatewayHost::FormatRequest("/brief/x", "body"));
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+    BeginStream(*a_, 'a');
+    // Progress keeps the response open after the timeout of the route (700 ms).
+    for (int i = 0; i < 8; ++i) {
+      host_->loop_.RunFor(milliseconds(300));
+      CPPUNIT_ASSERT(!caller.closed_);
+      a_->SendMore(Chunk('a'));
+    }
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return caller.closed_; }));
+    CPPUNIT_ASSERT(!caller.received_.ends_with(kLastChunk));
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return !a_->IsRequestOpen(); }));
+    CPPUNIT_ASSERT(host_->HasMetric("sends_total", "result=\"stalled\""));
+    CPPUNIT_ASSERT(host_->HasMetric("requests_total", "reason=\"target_failed\""));
+  }
+
+  // Guards against a request that a caller keeps open for ever because it does not read.
+  void CallerThatStopsReadingEndsAStreamedResponse() {
+    host_->settings_.stream_stall_timeout_ = milliseconds(1500);
+    RestartWithOneTarget();
+    RawCaller caller(host_->settings_.front_address_,
+                     GatewayHost::FormatRequest("/brief/x", "body"));
+    caller.stream_->PauseReading(true);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+    BeginStream(*a_, 'a');
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] {
+      a_->SendMore(Chunk('a'));
+      return !a_->IsRequestOpen();
+    }));
+    CPPUNIT_ASSERT(host_->HasMetric("requests_total", "reason=\"timed_out\""));
+    CPPUNIT_ASSERT(!host_->HasMetric("sends_total", "result=\"stalled\""));
+  }
+
  private:
+  // Starts a new gateway with the settings of the last one and the target `a` only.
+  void RestartWithOneTarget() {
+    const Duration stall_timeout = host_->settings_.stream_stall_timeout_;
+    tearDown();
+    host_ = std::make_unique<GatewayHost>();
+    host_->settings_.stream_stall_timeout_ = stall_timeout;
+    a_ = std::make_unique<RawTarget>("a");
+    host_->AddTarget("a", a_->GetAddress());
+    CPPUNIT_ASSERT(host_->Start());
+  }
+
   // Sends an idempotent request and waits until both targets have received it.
   void SendToBoth(Response& response) {
     host_->Send("/safe/x", "", response);
