gateway: survive the end of a streamed response without a caller

Cause: a non-idempotent request keeps its attempt when its caller leaves. If its response was being streamed, the next body bytes, its end or its failure used the caller's connection, which is null then. A target that was paused because the caller did not read was never resumed. A request whose timeout passed after its caller had left was recorded as timed_out with status 504, although nobody got that response.

Change: without a caller, body bytes are dropped, the target is read at its own speed until the response ends or the deadline passes, and the request ends with reason caller_gone.

Test: StreamedResponseTest. Before, NonIdempotentStreamGoesOnAfterItsCallerHasLeft ended the test program with a segmentation fault. OutcomeOfARequestWhoseCallerHasLeftIsRecorded, run without the tests that crash, found no request with reason="caller_gone" after the timeout of the route. A response, a failure or a rejection after the caller had left was recorded as it should be also before.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -113,15 +113,20 @@
 
   void OnBody(std::string& body) override {
     received_bytes_ += body.size();
+    if (call_.connection_ == nullptr) {
+      // The caller has left, and the request goes on only because it is not idempotent.
+      body_ = {};
+      return body.clear();
+    }
     if (streamed_) {
       call_.connection_->WriteChunk(body);
       body.clear();
       if (call_.connection_->UnsentBytes() > kMaxUnsentBytes) connection_->PauseReading(true);
       return;
     }
-    if (IsUsable() && call_.connection_ != nullptr) body_.append(body);
+    if (IsUsable()) body_.append(body);
     body.clear();
-    if (body_.size() <= kMaxBodyBuffer || !IsForwardable() || call_.connection_ == nullptr) return;
+    if (body_.size() <= kMaxBodyBuffer || !IsForwardable()) return;
     call_.BeginStreaming(*this);
   }
 
@@ -502,6 +507,7 @@
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
     CancelAttempts();
+    if (connection_ == nullptr) return Finish(status, EndReason::kCallerGone, now);
     connection_->EndChunkedResponse();
     return Finish(status, EndReason::kAnswered, now);
   }
@@ -548,12 +554,12 @@
   }
   const bool streamed = attempt.streamed_;
   RemoveAttempt(attempt);
+  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   if (streamed) {
     connection_->Abort();
     CancelAttempts();
     return Finish(0, EndReason::kTargetFailed, now);
   }
-  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   if (!attempts_.empty() || selecting_) return;  // Another attempt is in progress.
   RetryOrFail(now);
 }
@@ -622,13 +628,12 @@
 }
 
 void Call::RespondWithError(int status, EndReason reason, Duration retry_after, Time now) {
-  if (connection_ != nullptr) {
-    http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
-    headers.emplace_back("Content-Type", "text/plain");
-    if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
-    retry_after_ = retry_after;
-    connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
-  }
+  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
+  http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
+  headers.emplace_back("Content-Type", "text/plain");
+  if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  retry_after_ = retry_after;
+  connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   Finish(status, reason, now);
 }
 
@@ -675,7 +680,9 @@
   connection_.reset();
   if (!attempts_.empty() && !IsIdempotent(route_->kind_)) {
     // A non-idempotent request is not cancelled: a caller that returns finds it either executed or
-    // not executed, but never interrupted.
+    // not executed, but never interrupted. Nobody slows down its response any more.
+    streaming_ = false;
+    for (const auto& attempt : attempts_) attempt->connection_->PauseReading(false);
     return SetTimer();
   }
   CancelAttempts();
--- a/src/gateway/tests/streamed_response_test.cc
+++ b/src/gateway/tests/streamed_response_test.cc
@@ -60,6 +60,10 @@
   CPPUNIT_TEST(SilenceDoesNotEndAStreamedResponseAtItsTimeout);
   CPPUNIT_TEST(SilenceAfterTheTimeoutEndsAStreamedResponse);
   CPPUNIT_TEST(CallerThatStopsReadingEndsAStreamedResponse);
+  CPPUNIT_TEST(NonIdempotentStreamGoesOnAfterItsCallerHasLeft);
+  CPPUNIT_TEST(PausedNonIdempotentStreamGoesOnAfterItsCallerHasLeft);
+  CPPUNIT_TEST(NonIdempotentStreamMayFailAfterItsCallerHasLeft);
+  CPPUNIT_TEST(OutcomeOfARequestWhoseCallerHasLeftIsRecorded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -217,7 +221,85 @@
     CPPUNIT_ASSERT(!host_->HasMetric("sends_total", "result=\"stalled\""));
   }
 
+  // Guards against a crash: the rest of the response arrives when there is no caller any more.
+  void NonIdempotentStreamGoesOnAfterItsCallerHasLeft() {
+    RestartWithOneTarget();
+    LeaveDuringStream(false);
+    for (int i = 0; i < 50; ++i) a_->request_->Write(Chunk('a'));
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return !a_->HasUnsentBytes(); }));
+    CPPUNIT_ASSERT(a_->IsRequestOpen());
+    a_->request_->Write(kLastChunk);
+    ExpectReason("caller_gone");
+    CPPUNIT_ASSERT(a_->IsRequestOpen());  // The response was complete.
+  }
+
+  // Guards against a target that waits for ever because the caller that paused it has left.
+  void PausedNonIdempotentStreamGoesOnAfterItsCallerHasLeft() {
+    RestartWithOneTarget();
+    LeaveDuringStream(true);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return !a_->HasUnsentBytes(); }));
+    a_->request_->Write(kLastChunk);
+    ExpectReason("caller_gone");
+  }
+
+  // Guards against a crash when the response breaks off after its caller has left.
+  void NonIdempotentStreamMayFailAfterItsCallerHasLeft() {
+    RestartWithOneTarget();
+    LeaveDuringStream(false);
+    a_->request_->Reset();
+    ExpectReason("caller_gone");
+  }
+
+  // Guards against requests that end without a trace because nobody waits for their response.
+  void OutcomeOfARequestWhoseCallerHasLeftIsRecorded() {
+    const std::string id = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    for (const std::string& response :
+         {id + "Signed: yes\r\nContent-Length: 1\r\n\r\na",  // A success.
+          id + "Content-Length: 1\r\n\r\na",                 // An unsigned response.
+          std::string("HTTP/1.1 500 E\r\nId: 1\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n"),
+          std::string("HTTP/1.1 503 R\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+          std::string("no http"), std::string()}) {  // No response before the timeout of the route.
+      RestartWithOneTarget();
+      Response ignored;
+      host_->Send("/brief/x", "body", ignored);
+      CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+      host_->client_->Cancel(host_->last_call_);
+      host_->loop_.RunFor(milliseconds(50));
+      CPPUNIT_ASSERT(a_->IsRequestOpen());
+      a_->request_->Write(response);
+      ExpectReason("caller_gone");
+      CPPUNIT_ASSERT_EQUAL(1, a_->requests_received_);
+    }
+  }
+
  private:
+  // Sends a non-idempotent request and closes the caller's connection while its response is being
+  // streamed. `paused` stops the caller from reading first, until the target is stopped too.
+  void LeaveDuringStream(bool paused) {
+    RawCaller caller(host_->settings_.front_address_,
+                     GatewayHost::FormatRequest("/once/x", "body"));
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+    BeginStream(*a_, 'a');
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return caller.received_.size() > kStreamedBytes; }));
+    if (paused) {
+      caller.stream_->PauseReading(true);
+      int blocked = 0;
+      CPPUNIT_ASSERT(host_->loop_.RunUntil([&] {
+        blocked = a_->HasUnsentBytes() ? blocked + 1 : 0;
+        a_->SendMore(Chunk('a'));
+        return blocked > 500;
+      }));
+    }
+    caller.stream_.reset();
+    host_->loop_.RunFor(milliseconds(50));
+    CPPUNIT_ASSERT(a_->IsRequestOpen());
+  }
+
+  void ExpectReason(const std::string& reason) {
+    CPPUNIT_ASSERT(host_->loop_.RunUntil(
+        [&] { return host_->HasMetric("requests_total", "reason=\"" + reason + "\""); }));
+  }
+
   // Starts a new gateway with the settings of the last one and the target `a` only.
   void RestartWithOneTarget() {
     const Duration stall_timeout = host_->settings_.stream_stall_timeout_;
