--- a/src/gateway/tests/mocks/gateway_host.h
+++ b/src/gateway/tests/mocks/gateway_host.h
@@ -56,7 +56,8 @@
       for (std::string* address :
            {&settings_.front_address_, &settings_.readiness_address_, &settings_.metrics_address_,
             &settings_.directory_address_, &settings_.control_address_, &settings_.peer_address_}) {
-        *address = http::Listener::Open("127.0.0.1:0", [](int) {}).value()->LocalAddress();
+        *address =
+            http::Listener::Open("127.0.0.1:0", [](int /*descriptor*/) {}).value()->LocalAddress();
       }
       auto started = StartGateway(settings_, format_, record_format_, store_, 1, 42);
       if (started) gateway_ = std::move(started.value());
