entry: a target's interim responses without end no longer hold a data task

Cause: libsoup reads interim responses (status 1xx) in a loop that does not return to the main loop while more bytes have arrived. A target that keeps sending them held the thread of its data task: no deadline was checked and no other call of the task was served.

What callers saw: no response to any call of the task, also after the deadline.

Change: the 17th interim response to a request cancels the send and closes its connection. The outcome of the call is unknown, as for other invalid responses. This works because libsoup checks the cancellation before each read.

--- a/src/entry/internal/soup_target_client.cc
+++ b/src/entry/internal/soup_target_client.cc
@@ -34,6 +34,7 @@
   std::int64_t body_length_ = -1;
   std::int64_t body_received_ = 0;
   int status_ = 0;
+  int interim_responses_ = 0;
   bool sent_ = false;
   bool not_run_ = false;
 };
@@ -41,6 +42,10 @@
 namespace {
 
 constexpr guint kIdleSeconds = 30;
+// Responses with status 1xx before the final one. libsoup reads them in a loop that does not return
+// to the main loop while more bytes have arrived, so without a limit a target that keeps sending
+// them would stop the whole data task, including its deadlines.
+constexpr int kMaxInterimResponses = 16;
 
 void FreeShared(gpointer data) { delete static_cast<std::shared_ptr<const std::string>*>(data); }
 
@@ -153,6 +158,8 @@
                    send.get());
   g_signal_connect(message, "starting", G_CALLBACK(&SoupTargetClient::OnStarting), send.get());
   g_signal_connect(message, "restarted", G_CALLBACK(&SoupTargetClient::OnRestarted), send.get());
+  g_signal_connect(message, "got-informational", G_CALLBACK(&SoupTargetClient::OnInterimResponse),
+                   send.get());
   soup_session_send_async(send->pool_->session_.get(), message, G_PRIORITY_DEFAULT,
                           send->cancellable_.get(), &SoupTargetClient::OnResponse,
                           new SendPtr(send));
@@ -189,6 +196,13 @@
   if (send->sent_) g_cancellable_cancel(send->cancellable_.get());
 }
 
+void SoupTargetClient::OnInterimResponse(SoupMessage*, Send* send) {
+  if (++send->interim_responses_ <= kMaxInterimResponses) return;
+  // Ends the loop of libsoup; HandleResponse() gets the error.
+  g_cancellable_cancel(send->cancellable_.get());
+  CloseSocket(send->socket_.get());
+}
+
 void SoupTargetClient::OnResponse(GObject* source, GAsyncResult* result, gpointer data) {
   const std::unique_ptr<SendPtr> send(static_cast<SendPtr*>(data));
   GError* error = nullptr;
@@ -305,6 +319,7 @@
 
 SendResult SoupTargetClient::ResultForError(const Send& send, const GError* error) {
   if (!send.sent_) return SendResult::kUnreachable;
+  if (send.interim_responses_ > kMaxInterimResponses) return SendResult::kInvalid;
   if (error != nullptr && error->domain == SOUP_SESSION_ERROR &&
       error->code == SOUP_SESSION_ERROR_PARSING) {
     return SendResult::kInvalid;
--- a/src/entry/internal/soup_target_client.h
+++ b/src/entry/internal/soup_target_client.h
@@ -41,6 +41,7 @@
                              Send* send);
   static void OnStarting(SoupMessage* message, Send* send);
   static void OnRestarted(SoupMessage* message, Send* send);
+  static void OnInterimResponse(SoupMessage* message, Send* send);
   static void OnResponse(GObject* source, GAsyncResult* result, gpointer data);
   static void OnBytes(GObject* source, GAsyncResult* result, gpointer data);
 
