entry: requests on their way at a stop are rejected instead of cut off

Cause: a stop counted calls. A call begins when the head of a request is complete, so a connection without one was idle, and was shut down in both directions at the next check, 20 ms later. That included connections accepted while draining whose first request had not arrived, and partly read heads. A request that arrives after such a shutdown makes the kernel reset the connection.

What callers saw: the connection ended without a response or a rejection.

Change: a table of caller connections, fed by the signals of libsoup for started and finished requests. While draining, a connection is not idle while a request is partly read, for at most 5 s, or while its first request may arrive, for 1 s after it was accepted. A request that stays incomplete is rejected on the socket directly, because libsoup responds only to complete requests; a call that was accepted before still has until its deadline. An idle connection is shut down for writing only. In the state `closing`, the host no longer listens, rejects what came out of the listen queue, and waits until callers have closed their connections, but not for one that receives nothing for 1 s.

It works because drained now means that no request is expected, and because sockets stay open until the callers have what was sent to them.

A request that arrives on an idle connection after the shutdown is still lost: HTTP/1.1 can not tell the caller earlier. The same holds for a connection that enters the listen queue between the last accept and the end of listening.

--- a/src/entry/internal/caller_server.cc
+++ b/src/entry/internal/caller_server.cc
@@ -9,7 +9,6 @@
 #include <sys/un.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "base/clock.h"
@@ -88,6 +87,11 @@
       callbacks_(callbacks),
       server_(soup_server_new("raw-paths", TRUE, nullptr)),
       view_(std::make_shared<EntryView>()) {
+  g_signal_connect(server_.get(), "request-started", G_CALLBACK(&CallerServer::OnRequestStarted),
+                   this);
+  for (const char* signal : {"request-finished", "request-aborted"}) {
+    g_signal_connect(server_.get(), signal, G_CALLBACK(&CallerServer::OnRequestEnded), this);
+  }
   soup_server_add_early_handler(server_.get(), nullptr, &CallerServer::OnHeaders, this, nullptr);
   soup_server_add_handler(server_.get(), nullptr, &CallerServer::OnRequest, this, nullptr);
   AddPlaceholderListener(server_.get());
@@ -99,11 +103,8 @@
     ResetConnection(*call);
     ClosePipe(*call);
   }
+  g_signal_handlers_disconnect_by_data(server_.get(), this);
   soup_server_disconnect(server_.get());
-  for (GWeakRef* connection : connections_) {
-    g_weak_ref_clear(connection);
-    delete connection;
-  }
 }
 
 void CallerServer::AcceptConnection(GSocketConnection* connection) {
@@ -115,28 +116,17 @@
   // libsoup does not provide the socket of a connection that it did not accept itself. It does
   // return this address object for each message, so the socket is attached to the address.
   g_object_set_data_full(G_OBJECT(remote.get()), kSocketKey, g_object_ref(socket), g_object_unref);
-  if (!soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(),
-                                   remote.get(), nullptr)) {
-    return;
-  }
-  std::erase_if(connections_, [](GWeakRef* reference) {
-    void* object = g_weak_ref_get(reference);
-    if (object != nullptr) {
-      g_object_unref(object);
-      return false;
-    }
-    g_weak_ref_clear(reference);
-    delete reference;
-    return true;
-  });
-  auto* reference = new GWeakRef;
-  g_weak_ref_init(reference, connection);
-  connections_.push_back(reference);
+  connections_.Add(socket, Now());
+  soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(), remote.get(),
+                              nullptr);
 }
 
 GSocket* CallerServer::SocketOf(const IncomingCall& call) {
-  if (call.message_ == nullptr) return nullptr;
-  GSocketAddress* remote = soup_server_message_get_remote_address(call.message_.get());
+  return call.message_ != nullptr ? SocketOfMessage(call.message_.get()) : nullptr;
+}
+
+GSocket* CallerServer::SocketOfMessage(SoupServerMessage* message) {
+  GSocketAddress* remote = soup_server_message_get_remote_address(message);
   if (remote == nullptr) return nullptr;
   auto* socket = static_cast<GSocket*>(g_object_get_data(G_OBJECT(remote), kSocketKey));
   return socket != nullptr && !g_socket_is_closed(socket) ? socket : nullptr;
@@ -340,8 +330,9 @@
                              gpointer data) {
   auto* server = static_cast<CallerServer*>(data);
   const CallPtr call = server->FindCallByMessage(message);
-  if (call == nullptr || call->responded_) return;
+  if (call == nullptr) return;
   call->body_complete_ = true;
+  if (call->responded_) return;
   server->Pause(*call);
   if (call->pipe_ != nullptr) {
     server->WriteToPipe(call);
@@ -400,22 +391,4 @@
   }
 }
 
-std::size_t CallerServer::CloseIdleConnections() {
-  std::set<GSocket*> busy;
-  for (const auto& [handle, call] : calls_) {
-    if (call->message_ != nullptr) busy.insert(SocketOf(*call));
-  }
-  for (GWeakRef* reference : connections_) {
-    auto* object = static_cast<GSocketConnection*>(g_weak_ref_get(reference));
-    if (object == nullptr) continue;
-    GSocket* socket = g_socket_connection_get_socket(object);
-    // A request that has arrived but has not been read yet must still be answered.
-    if (!busy.contains(socket) && g_socket_get_available_bytes(socket) <= 0) {
-      g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-    }
-    g_object_unref(object);
-  }
-  return busy.size();
-}
-
 }  // namespace monsoonshelf::entry
--- a/src/entry/internal/caller_server.h
+++ b/src/entry/internal/caller_server.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
+#include "entry/internal/caller_connections.h"
 #include "entry/internal/incoming_call.h"
 
 namespace monsoonshelf::entry {
@@ -27,6 +27,21 @@
 // caller to close the connection.
 enum class ServingMode { kStarting, kServing, kLeaving, kDraining };
 
+// What a stop still waits for.
+struct OpenWork {
+  std::size_t calls_ = 0;
+  // Requests that are partly read, or may be on their way on a new connection.
+  std::size_t expected_requests_ = 0;
+  std::size_t receiving_ = 0;  // Ended connections whose callers have not closed them yet.
+
+  OpenWork& operator+=(const OpenWork& other) {
+    calls_ += other.calls_;
+    expected_requests_ += other.expected_requests_;
+    receiving_ += other.receiving_;
+    return *this;
+  }
+};
+
 // HTTP server of one data task for requests of callers. Must be created and used on the thread of
 // the task, whose main context must be the thread default.
 class CallerServer {
@@ -54,14 +69,17 @@
   void CancelAbandonedCalls(Time now);
   std::size_t CallCount() const { return calls_.size(); }
   std::size_t ReservedBytes() const { return reserved_bytes_; }
-  // Closes connections without a call in flight. Returns the number of connections with one.
-  std::size_t CloseIdleConnections();
+  // Closes connections without a call in flight, except those on which a request is expected, and
+  // rejects requests that stay incomplete.
+  OpenWork CloseIdleConnections(Time now);
 
  private:
   using CallPtr = std::shared_ptr<IncomingCall>;
 
   static void OnHeaders(SoupServer* server, SoupServerMessage* message, const char* path,
                         GHashTable* query, gpointer data);
+  static void OnRequestStarted(SoupServer* server, SoupServerMessage* message, gpointer data);
+  static void OnRequestEnded(SoupServer* server, SoupServerMessage* message, gpointer data);
   static void OnGotChunk(SoupServerMessage* message, GBytes* bytes, gpointer data);
   static void OnRequest(SoupServer* server, SoupServerMessage* message, const char* path,
                         GHashTable* query, gpointer data);
@@ -70,6 +88,7 @@
   static void OnFinished(SoupServerMessage* message, gpointer data);
   static gboolean OnPipeReady(gint descriptor, GIOCondition condition, gpointer data);
 
+  static GSocket* SocketOfMessage(SoupServerMessage* message);
   static GSocket* SocketOf(const IncomingCall& call);  // Null if closed.
   CallPtr FindCall(CallHandle handle);
   CallPtr FindCallByMessage(SoupServerMessage* message);
@@ -89,6 +108,9 @@
   void WriteResponse(const CallPtr& call, BufferedResponse response);
   void StartResponse(IncomingCall& call, const ResponseHead& head);
   void ResetConnection(IncomingCall& call);
+  void RejectPartialRequests(Time now, Duration age);
+  void RejectPartialRequest(const CallPtr& call, const ErrorResponse& error);
+  static void WriteDirectly(GSocket* socket, const std::string& text);
   void FinishMessage(const CallPtr& call);
   void ReportCallEnd(IncomingCall& call, Time now);
 
@@ -101,7 +123,7 @@
   ServingMode mode_ = ServingMode::kStarting;
   std::unordered_map<CallHandle, CallPtr> calls_;
   std::unordered_map<SoupServerMessage*, CallPtr> calls_by_message_;
-  std::vector<GWeakRef*> connections_;
+  CallerConnections connections_;
   std::size_t reserved_bytes_ = 0;
   CallHandle next_handle_ = 1;
 };
--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -209,15 +209,18 @@
   task_.RunOrPost([this, call, complete] { caller_server_->DeliverEnd(call, complete); });
 }
 
-std::size_t DataTask::CountCalls(bool close_idle) {
+std::size_t DataTask::CountCalls() {
   std::size_t count = 0;
-  task_.PostAndWait([&] {
-    if (close_idle) caller_server_->CloseIdleConnections();
-    count = caller_server_->CallCount();
-  });
+  task_.PostAndWait([&] { count = caller_server_->CallCount(); });
   return count;
 }
 
+OpenWork DataTask::CloseConnections() {
+  OpenWork work;
+  task_.PostAndWait([&] { work = caller_server_->CloseIdleConnections(Now()); });
+  return work;
+}
+
 void DataTask::RouteCall(CallArrival arrival) {
   ArmSweepTimer();
   dispatch_->RouteCall(std::move(arrival));
--- a/src/entry/internal/data_task.h
+++ b/src/entry/internal/data_task.h
@@ -45,9 +45,11 @@
   void DeliverChunk(CallHandle call, std::string bytes);
   void DeliverEnd(CallHandle call, bool complete);
 
-  // Returns the number of calls that this task has accepted and that have not ended. Optionally
-  // closes idle caller connections first. Blocks until the thread of the task has run it.
-  std::size_t CountCalls(bool close_idle);
+  // Returns the number of calls that this task has accepted and that have not ended. This function
+  // and the next block until the thread of the task has run them.
+  std::size_t CountCalls();
+  // Closes idle caller connections and returns what is left; see CallerServer.
+  OpenWork CloseConnections();
 
  private:
   class ProbeRunner;
--- a/src/entry/internal/entry_host.cc
+++ b/src/entry/internal/entry_host.cc
@@ -136,11 +136,10 @@
         timer_->Set(Now() + kDrainPollInterval);
         break;
       case LifecycleState::kClosing:
-        forced_ = event == LifecycleEvent::kForced;
-        ApplyEvent(LifecycleEvent::kClosed);
+        BeginClosing(event == LifecycleEvent::kForced);
         break;
       case LifecycleState::kStopped:
-        Finish(forced_);
+        Finish();
         break;
       default:
         break;
@@ -149,7 +148,9 @@
 
   void OnTimer() {
     const Time now = Now();
-    if (now >= stop_end_) {
+    if (state_ == LifecycleState::kClosing) {
+      CheckClosed(now);
+    } else if (now >= stop_end_) {
       ApplyEvent(LifecycleEvent::kForced);
     } else if (state_ == LifecycleState::kLeaving && now >= leave_end_) {
       ApplyEvent(LifecycleEvent::kKeepTimeEnded);
@@ -158,10 +159,12 @@
     }
   }
 
-  // Ends draining when two consecutive checks find neither a call nor a new connection. A single
-  // check could miss a request that has just arrived.
+  // Ends draining when two consecutive checks find neither a call nor a new connection nor a partly
+  // read request. A single check could miss a request that has just arrived.
   void CheckDrained(Time now) {
-    const bool idle = listener_->AcceptAll() == 0 && CountCalls(true) == 0;
+    const std::size_t accepted = listener_->AcceptAll();
+    const OpenWork work = CloseConnections();
+    const bool idle = accepted == 0 && work.calls_ == 0 && work.expected_requests_ == 0;
     idle_checks_ = idle ? idle_checks_ + 1 : 0;
     if (idle_checks_ >= 2) {
       ApplyEvent(LifecycleEvent::kDrained);
@@ -170,23 +173,53 @@
     }
   }
 
-  std::size_t CountCalls(bool close_idle) {
+  // Stops listening, and waits until the callers have received their responses and closed their
+  // connections. A forced close does not wait.
+  void BeginClosing(bool forced) {
+    // Requests of connections that are still in the listen queue are rejected.
+    listener_->AcceptAll();
+    listener_.reset();
+    closing_end_ = stop_end_;
+    if (forced) ForceClosing();
+    CheckClosed(Now());
+  }
+
+  void ForceClosing() {
+    if (result_.forced_) return;
+    result_ = {true, CountCalls()};
+    closing_end_ = Now();
+    if (!callbacks_.event_) return;
+    callbacks_.event_({{"event", "stop_forced"},
+                       {"level", "error"},
+                       {"code", std::string(ResultCodeName(ResultCode::kStopCutCalls))},
+                       {"interrupted_calls", std::to_string(result_.interrupted_calls_)}});
+  }
+
+  void CheckClosed(Time now) {
+    const OpenWork work = CloseConnections();
+    if (now >= stop_end_ && work.calls_ > 0) ForceClosing();
+    if (now < closing_end_ && work.calls_ + work.expected_requests_ + work.receiving_ > 0) {
+      timer_->Set(now + kDrainPollInterval);
+    } else {
+      ApplyEvent(LifecycleEvent::kClosed);
+    }
+  }
+
+  std::size_t CountCalls() {
     std::size_t count = 0;
-    for (auto& task : data_tasks_) count += task->CountCalls(close_idle);
+    for (auto& task : data_tasks_) count += task->CountCalls();
     return count;
   }
 
-  void Finish(bool forced) {
+  OpenWork CloseConnections() {
+    OpenWork work;
+    for (auto& task : data_tasks_) work += task->CloseConnections();
+    return work;
+  }
+
+  void Finish() {
     timer_->Clear();
-    StopResult result{forced, forced ? CountCalls(false) : 0};
-    if (forced && callbacks_.event_) {
-      callbacks_.event_({{"event", "stop_forced"},
-                         {"level", "error"},
-                         {"code", std::string(ResultCodeName(ResultCode::kStopCutCalls))},
-                         {"interrupted_calls", std::to_string(result.interrupted_calls_)}});
-    }
-    listener_.reset();
-    if (done_) done_(result);
+    if (done_) done_(result_);
   }
 
   const EntrySettings settings_;
@@ -201,8 +234,9 @@
   std::function<void(const StopResult&)> done_;
   Time stop_end_ = Time::max();
   Time leave_end_ = Time::max();
+  Time closing_end_ = Time::max();
   int idle_checks_ = 0;
-  bool forced_ = false;
+  StopResult result_;
   std::size_t next_data_task_ = 0;
 };
 
--- a/src/entry/tests/mocks/fake_target.h
+++ b/src/entry/tests/mocks/fake_target.h
@@ -25,13 +25,17 @@
   Connection& operator=(Connection&&) = delete;
   ~Connection() { Close(); }
 
-  static Connection ConnectTo(const std::string& address) {
+  // `receive_buffer` is the size of the receive buffer in bytes; 0: chosen by the kernel.
+  static Connection ConnectTo(const std::string& address, int receive_buffer = 0) {
     const std::size_t colon = address.rfind(':');
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0) {
+      setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    }
     if (connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
       close(descriptor);
       return Connection(-1);
--- /dev/null
+++ b/src/entry/tests/planned_stop_test.cc
@@ -0,0 +1,206 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "entry/tests/entry_fixture.h"
+
+namespace monsoonshelf::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Keeps a target from responding until the test lets it.
+class Gate {
+ public:
+  void Open() {
+    const std::lock_guard lock(mutex_);
+    open_ = true;
+    changed_.notify_all();
+  }
+  void Wait() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return open_; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool open_ = false;
+};
+
+// Opens the gate when the test ends early; otherwise destroying the target would block.
+class OpenOnExit {
+ public:
+  explicit OpenOnExit(Gate& gate) : gate_(gate) {}
+  ~OpenOnExit() { gate_.Open(); }
+  OpenOnExit(const OpenOnExit&) = delete;
+  OpenOnExit& operator=(const OpenOnExit&) = delete;
+
+ private:
+  Gate& gate_;
+};
+
+// Result of a stop, for a thread that waits for it.
+class StopWaiter {
+ public:
+  void Begin(EntryFixture& entry) {
+    entry.Host().BeginStop([this](const StopResult& result) {
+      const std::lock_guard lock(mutex_);
+      result_ = result;
+      done_ = true;
+      changed_.notify_all();
+    });
+  }
+  bool IsDone() {
+    const std::lock_guard lock(mutex_);
+    return done_;
+  }
+  StopResult Wait() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return done_; });
+    return result_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool done_ = false;
+  StopResult result_;
+};
+
+EntrySettings WithoutKeepTime(Duration stop_time = std::chrono::seconds(30)) {
+  EntrySettings settings;
+  settings.keep_time_ = Duration(0);
+  settings.stop_time_ = stop_time;
+  return settings;
+}
+
+}  // namespace
+
+// A planned stop of an entry host as its callers see it: each request that a caller sent gets the
+// whole response or a rejection (invariant 8).
+class PlannedStopTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlannedStopTest);
+  CPPUNIT_TEST(SlowReaderReceivesTheWholeResponse);
+  CPPUNIT_TEST(RequestOnConnectionAcceptedWhileDrainingIsRejected);
+  CPPUNIT_TEST(PartlyReadRequestIsRejected);
+  CPPUNIT_TEST(RepeatedStopDoesNotCutCalls);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a stop that counts a call as ended when its response has been written to the
+  // socket but not yet read by the caller, and then discards the rest.
+  void SlowReaderReceivesTheWholeResponse() {
+    for (const std::size_t size : {std::size_t{60'000}, std::size_t{8'000'000}}) {
+      FakeTarget target([&](Connection& connection) {
+        const std::string head = connection.ReadHead();
+        if (!head.empty()) connection.Write(Response(head, std::string(size, 'b')));
+      });
+      EntryFixture entry(WithoutKeepTime());
+      entry.targets_ = {target.Address()};
+      entry.Publish();
+      Connection caller = Connection::ConnectTo(entry.Address(), 4096);
+      caller.Write(EntryFixture::Request("GET", "/s/svc/pack"));
+      const std::string head = caller.ReadHead();
+      StopWaiter stop;
+      stop.Begin(entry);
+      entry.WaitForEvent("to=draining");
+      std::this_thread::sleep_for(milliseconds(100));
+      std::thread destroyer([&] {
+        if (size < 100'000) return;
+        stop.Wait();
+        entry.DestroyHost();
+      });
+      if (size < 100'000) {
+        stop.Wait();
+        entry.DestroyHost();
+      }
+      const std::size_t received = caller.ReadBody(size).size();
+      destroyer.join();
+      CPPUNIT_ASSERT_EQUAL(size, received);
+    }
+  }
+
+  // Guards against a connection that is closed as idle before its first request has arrived: its
+  // caller got neither a response nor a rejection.
+  void RequestOnConnectionAcceptedWhileDrainingIsRejected() {
+    Gate gate;
+    FakeTarget target([&](Connection& connection) {
+      const std::string head = connection.ReadHead();
+      gate.Wait();
+      if (!head.empty()) connection.Write(Response(head, "done"));
+    });
+    const OpenOnExit release(gate);
+    EntryFixture entry(WithoutKeepTime());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    Connection running = Connection::ConnectTo(entry.Address());
+    running.Write(EntryFixture::Request("GET", "/s/svc/a"));
+    while (target.ConnectionCount() == 0) std::this_thread::yield();
+    StopWaiter stop;
+    stop.Begin(entry);
+    entry.WaitForEvent("to=draining");
+    Connection caller = Connection::ConnectTo(entry.Address());
+    std::this_thread::sleep_for(milliseconds(100));
+    caller.Write(EntryFixture::Request("GET", "/s/svc/b"));
+    const auto answer = EntryFixture::ReadAnswer(caller);
+    CPPUNIT_ASSERT_EQUAL(std::string("758"), answer.Code());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), answer.Outcome());
+    gate.Open();
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), EntryFixture::ReadAnswer(running).body_);
+    CPPUNIT_ASSERT(!stop.Wait().forced_);
+  }
+
+  // Guards against a stop that ends while a request is partly read.
+  void PartlyReadRequestIsRejected() {
+    FakeTarget target(EchoHandler);
+    EntryFixture entry(WithoutKeepTime());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    Connection caller = Connection::ConnectTo(entry.Address());
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call("GET", "/s/svc/a").Status());
+    const std::string request = EntryFixture::Request("GET", "/s/svc/b", "X-Long: 12345678\r\n");
+    caller.Write(request.substr(0, request.size() - 9));
+    StopWaiter stop;
+    stop.Begin(entry);
+    entry.WaitForEvent("to=draining");
+    std::this_thread::sleep_for(milliseconds(100));
+    caller.Write(request.substr(request.size() - 9));
+    const auto answer = EntryFixture::ReadAnswer(caller);
+    CPPUNIT_ASSERT_EQUAL(std::string("758"), answer.Code());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), answer.Outcome());
+    CPPUNIT_ASSERT(!stop.Wait().forced_);
+  }
+
+  // Guards against a second stop that cuts calls in flight.
+  void RepeatedStopDoesNotCutCalls() {
+    Gate gate;
+    FakeTarget target([&](Connection& connection) {
+      const std::string head = connection.ReadHead();
+      gate.Wait();
+      if (!head.empty()) connection.Write(Response(head, "done"));
+    });
+    const OpenOnExit release(gate);
+    EntryFixture entry(WithoutKeepTime());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    Connection running = Connection::ConnectTo(entry.Address());
+    running.Write(EntryFixture::Request("GET", "/s/svc/a", "Monsoonshelf-Deadline-Ms: 30000\r\n"));
+    while (target.ConnectionCount() == 0) std::this_thread::yield();
+    StopWaiter stop;
+    stop.Begin(entry);
+    stop.Begin(entry);
+    entry.WaitForEvent("to=draining");
+    stop.Begin(entry);
+    gate.Open();
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), EntryFixture::ReadAnswer(running).body_);
+    CPPUNIT_ASSERT(!stop.Wait().forced_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
+
+}  // namespace monsoonshelf::entry
