entry: a close after a last response no longer resets the connection

Cause: after a response with `Connection: close`, libsoup closes the socket at once. If the caller's next bytes are unread, here a pipelined request, the kernel sends a reset and discards what its send buffer holds of the response.

What callers saw: a response that ends early with a reset, at a stop.

Change: when such a response has been written, a duplicate of the descriptor keeps the connection open.

It works because the kernel resets a connection only when it is closed with unread bytes, and the duplicate is closed without any.

Not covered: responses that close the connection for another reason than the stop, such as a request with `Connection: close`.

--- a/src/entry/internal/caller_connections.h
+++ b/src/entry/internal/caller_connections.h
@@ -22,10 +22,12 @@
   Time last_progress_{};  // When `unsent_bytes_` last decreased, or the half-close.
 };
 
-// The connections of one CallerServer to callers. libsoup owns and closes them.
+// The connections of one CallerServer to callers. libsoup owns and closes them. This table closes
+// idle ones, and delays the close after a last response until the caller has received it.
 class CallerConnections {
  public:
   CallerConnections() = default;
+  ~CallerConnections();
   CallerConnections(const CallerConnections&) = delete;
   CallerConnections& operator=(const CallerConnections&) = delete;
 
@@ -34,9 +36,22 @@
   CallerConnection* Find(GSocket* socket);
   // Returns the open connections.
   std::vector<CallerConnection*> Open();
+  // Sends the end of the stream to the caller, but keeps the connection open until the caller has
+  // received everything and closed it, even if libsoup closes its descriptor.
+  void Linger(GSocket* socket, Time now);
+  // Reads and discards what callers send on lingering connections; closes those that have ended.
+  void Sweep(Time now);
+  std::size_t LingeringCount() const { return lingering_.size(); }
 
  private:
+  struct LingeringSocket {
+    int descriptor_ = -1;
+    int unsent_bytes_ = 0;
+    Time last_progress_{};
+  };
+
   std::map<GSocket*, CallerConnection> connections_;
+  std::vector<LingeringSocket> lingering_;
 };
 
 // Sends the end of the stream to the caller. Bytes that the caller sends are still received.
--- a/src/entry/internal/caller_server.h
+++ b/src/entry/internal/caller_server.h
@@ -21,6 +21,8 @@
   virtual void CancelCall(CallHandle call) = 0;
   // Requests the next chunk of a streamed response from the data task that receives it.
   virtual void RequestChunk(std::size_t sending_task, SendId send) = 0;
+  // SweepConnections() must be called from time to time while connections linger.
+  virtual void ConnectionLingers() = 0;
 };
 
 // New calls are accepted in kServing and kLeaving. In kLeaving and kDraining, responses ask the
@@ -69,6 +71,10 @@
   void CancelAbandonedCalls(Time now);
   std::size_t CallCount() const { return calls_.size(); }
   std::size_t ReservedBytes() const { return reserved_bytes_; }
+  // Reads what callers still send on connections that end with their last response.
+  void SweepConnections(Time now) { connections_.Sweep(now); }
+  std::size_t LingeringCount() const { return connections_.LingeringCount(); }
+
   // Closes connections without a call in flight, except those on which a request is expected, and
   // rejects requests that stay incomplete.
   OpenWork CloseIdleConnections(Time now);
--- a/src/entry/internal/caller_server_responses.cc
+++ b/src/entry/internal/caller_server_responses.cc
@@ -76,6 +76,7 @@
   }
   if (mode_ == ServingMode::kLeaving || mode_ == ServingMode::kDraining) {
     soup_message_headers_append(headers, "Connection", "close");
+    call.closes_connection_ = true;
   }
   if (head.body_length_ >= 0) {
     soup_message_headers_set_content_length(headers, head.body_length_);
@@ -212,6 +213,11 @@
 }
 
 void CallerServer::FinishMessage(const CallPtr& call) {
+  GSocket* socket = SocketOf(*call);
+  if (call->closes_connection_ && call->body_written_ && socket != nullptr) {
+    connections_.Linger(socket, Now());
+    delegate_.ConnectionLingers();
+  }
   calls_by_message_.erase(call->message_.get());
   g_signal_handlers_disconnect_by_data(call->message_.get(), this);
   call->message_.reset();
--- a/src/entry/internal/caller_server_stop.cc
+++ b/src/entry/internal/caller_server_stop.cc
@@ -53,9 +53,11 @@
 }
 
 OpenWork CallerServer::CloseIdleConnections(Time now) {
+  connections_.Sweep(now);
   RejectPartialRequests(now, kRequestGracePeriod);
   OpenWork work;
   work.calls_ = calls_.size();
+  work.receiving_ = connections_.LingeringCount();
   std::set<GSocket*> busy;
   for (const auto& [handle, call] : calls_) busy.insert(SocketOf(*call));
   for (auto* connection : connections_.Open()) {
--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -258,8 +258,11 @@
   const Time now = Now();
   client_->CheckDeadlines(now);
   caller_server_->CancelAbandonedCalls(now);
-  if (client_->SendCount() > 0 || caller_server_->CallCount() > 0)
+  caller_server_->SweepConnections(now);
+  if (client_->SendCount() > 0 || caller_server_->CallCount() > 0 ||
+      caller_server_->LingeringCount() > 0) {
     sweep_timer_->Set(now + kSweepInterval);
+  }
 }
 
 }  // namespace monsoonshelf::entry
--- a/src/entry/internal/data_task.h
+++ b/src/entry/internal/data_task.h
@@ -58,6 +58,7 @@
   void RouteCall(CallArrival arrival) override;
   void CancelCall(CallHandle call) override;
   void RequestChunk(std::size_t sending_task, SendId send) override;
+  void ConnectionLingers() override { ArmSweepTimer(); }
   // ISendRelayDelegate.
   void RelayResponse(CallHandle call, BufferedResponse response) override;
   void RelayHead(CallHandle call, SendId send, ResponseHead head) override;
--- a/src/entry/internal/incoming_call.h
+++ b/src/entry/internal/incoming_call.h
@@ -34,7 +34,8 @@
   std::size_t sending_task_ = 0;    // Index of the data task that receives the response.
   SendId send_id_ = 0;              // Send of a streamed response; 0: none.
   bool response_complete_ = false;
-  bool body_written_ = false;  // libsoup has written the whole response body.
+  bool closes_connection_ = false;  // The response announces the end of the connection.
+  bool body_written_ = false;       // libsoup has written the whole response body.
 
   CallEnd end_;  // Until the call ends, total_ holds its start time.
 };
--- a/src/entry/tests/planned_stop_test.cc
+++ b/src/entry/tests/planned_stop_test.cc
@@ -85,6 +85,7 @@
 class PlannedStopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlannedStopTest);
   CPPUNIT_TEST(SlowReaderReceivesTheWholeResponse);
+  CPPUNIT_TEST(PipelinedRequestDoesNotDiscardTheResponseBeforeIt);
   CPPUNIT_TEST(RequestOnConnectionAcceptedWhileDrainingIsRejected);
   CPPUNIT_TEST(PartlyReadRequestIsRejected);
   CPPUNIT_TEST(RepeatedStopDoesNotCutCalls);
@@ -124,6 +125,37 @@
     }
   }
 
+  // Guards against a reset that discards a response on its way to the caller: the kernel resets a
+  // connection that is closed with unread bytes, here those of a pipelined request.
+  void PipelinedRequestDoesNotDiscardTheResponseBeforeIt() {
+    constexpr std::size_t kSize = 60'000;
+    Gate gate;
+    FakeTarget target([&](Connection& connection) {
+      const std::string head = connection.ReadHead();
+      gate.Wait();
+      if (!head.empty()) connection.Write(Response(head, std::string(kSize, 'b')));
+    });
+    const OpenOnExit release(gate);
+    EntryFixture entry(WithoutKeepTime());
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    Connection caller = Connection::ConnectTo(entry.Address(), 4096);
+    caller.Write(EntryFixture::Request("GET", "/s/svc/pack"));
+    while (target.ConnectionCount() == 0) std::this_thread::yield();
+    caller.Write(EntryFixture::Request("POST", "/s/svc/b",
+                                       "Monsoonshelf-Call-Id: " + entry.NewId() + "\r\n",
+                                       std::string(100'000, 'q')));
+    StopWaiter stop;
+    stop.Begin(entry);
+    entry.WaitForEvent("to=draining");
+    gate.Open();
+    entry.WaitForEnds(1);
+    std::this_thread::sleep_for(milliseconds(100));
+    caller.ReadHead();
+    CPPUNIT_ASSERT_EQUAL(kSize, caller.ReadBody(kSize).size());
+    stop.Wait();
+  }
+
   // Guards against a connection that is closed as idle before its first request has arrived: its
   // caller got neither a response nor a rejection.
   void RequestOnConnectionAcceptedWhileDrainingIsRejected() {
