entry: no crash when a host is destroyed while responses are streamed

Cause: data tasks stop one after the other. A task that still receives a response passes it to the task that accepted the call, which may already have destroyed its server; the message then used a null pointer.

What operators would see (shown by the test only): a segmentation fault at the end of a forced stop, after `stopped`.

Change: messages to a data task have no effect once its server is destroyed.

Evidence: HostCanBeDestroyedWhileResponsesAreStreamed failed before in 5 of 5 runs with a segmentation fault, and passed in 8 of 8 runs after the change. The fault was found as 2 crashes in 16 runs of EndlessResponseTest, with the stack CallerServer::DeliverEnd, FindCall(this=0).

--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -138,75 +138,89 @@
   task_.Stop();
 }
 
+template <typename Function>
+void DataTask::PostIfOpen(Function function) {
+  task_.Post([this, function = std::move(function)]() mutable {
+    if (caller_server_ != nullptr) function();
+  });
+}
+
+template <typename Function>
+void DataTask::RunOrPostIfOpen(Function function) {
+  task_.RunOrPost([this, function = std::move(function)]() mutable {
+    if (caller_server_ != nullptr) function();
+  });
+}
+
 void DataTask::SetView(EntryViewPtr view) {
-  task_.Post([this, view = std::move(view)] { caller_server_->SetView(view); });
+  PostIfOpen([this, view = std::move(view)] { caller_server_->SetView(view); });
 }
 
 void DataTask::SetMode(ServingMode mode) {
-  task_.Post([this, mode] { caller_server_->SetMode(mode); });
+  PostIfOpen([this, mode] { caller_server_->SetMode(mode); });
 }
 
 void DataTask::AcceptConnection(std::shared_ptr<GSocketConnection> connection) {
-  task_.Post([this, connection = std::move(connection)] {
+  PostIfOpen([this, connection = std::move(connection)] {
     caller_server_->AcceptConnection(connection.get());
   });
 }
 
 void DataTask::StartSend(SendCommand command) {
   auto shared = std::make_shared<SendCommand>(std::move(command));
-  task_.Post([this, shared] {
+  PostIfOpen([this, shared] {
     relay_->Start(std::move(*shared));
     ArmSweepTimer();
   });
 }
 
 void DataTask::CancelSend(SendId send) {
-  task_.Post([this, send] { relay_->Cancel(send); });
+  PostIfOpen([this, send] { relay_->Cancel(send); });
 }
 
 void DataTask::ReadChunk(SendId send) {
-  task_.RunOrPost([this, send] { relay_->ReadChunk(send); });
+  RunOrPostIfOpen([this, send] { relay_->ReadChunk(send); });
 }
 
 void DataTask::StartProbe(const ShardKey& shard, const std::string& target,
                           const std::string& address, int max_connections) {
-  task_.Post([this, shard, target, address, max_connections] {
+  PostIfOpen([this, shard, target, address, max_connections] {
     probe_runner_->Start(shard, target, address, max_connections);
     ArmSweepTimer();
   });
 }
 
 void DataTask::RemoveAddress(const std::string& address) {
-  task_.Post([this, address] { client_->RemoveAddress(address); });
+  PostIfOpen([this, address] { client_->RemoveAddress(address); });
 }
 
 void DataTask::DeliverResponse(CallHandle call, BufferedResponse response) {
-  if (task_.IsCurrent()) {
+  if (task_.IsCurrent() && caller_server_ != nullptr) {
     caller_server_->DeliverResponse(call, std::move(response));
     return;
   }
   auto shared = std::make_shared<BufferedResponse>(std::move(response));
-  task_.Post([this, call, shared] { caller_server_->DeliverResponse(call, std::move(*shared)); });
+  PostIfOpen([this, call, shared] { caller_server_->DeliverResponse(call, std::move(*shared)); });
 }
 
 void DataTask::DeliverError(CallHandle call, ErrorResponse error) {
-  task_.Post([this, call, error = std::move(error)] { caller_server_->DeliverError(call, error); });
+  PostIfOpen([this, call, error = std::move(error)] { caller_server_->DeliverError(call, error); });
 }
 
 void DataTask::DeliverHead(CallHandle call, std::size_t sending_task, SendId send,
                            ResponseHead head) {
-  task_.RunOrPost([this, call, sending_task, send, head = std::move(head)] {
+  RunOrPostIfOpen([this, call, sending_task, send, head = std::move(head)] {
     caller_server_->DeliverHead(call, sending_task, send, head);
   });
 }
 
 void DataTask::DeliverChunk(CallHandle call, std::string bytes) {
-  task_.RunOrPost(
+  RunOrPostIfOpen(
       [this, call, bytes = std::move(bytes)] { caller_server_->DeliverChunk(call, bytes); });
 }
 
 void DataTask::DeliverEnd(CallHandle call, bool complete) {
-  task_.RunOrPost([this, call, complete] { caller_server_->DeliverEnd(call, complete); });
+  RunOrPostIfOpen([this, call, complete] { caller_server_->DeliverEnd(call, complete); });
 }
 
 std::size_t DataTask::CountCalls() {
--- a/src/entry/internal/data_task.h
+++ b/src/entry/internal/data_task.h
@@ -66,6 +66,13 @@
   void RelayEnd(CallHandle call, bool complete) override;
   void ReportSend(SendReport report) override;
 
+  // Run a function on the thread of the task; without effect after Stop(): the other tasks stop
+  // later and may still send messages.
+  template <typename Function>
+  void PostIfOpen(Function function);
+  template <typename Function>
+  void RunOrPostIfOpen(Function function);
+
   void OnSweep();
   void ArmSweepTimer();
   DataTask& AcceptingTask(CallHandle call) { return *data_tasks_[AcceptingTaskIndex(call)]; }
--- a/src/entry/tests/streamed_end_test.cc
+++ b/src/entry/tests/streamed_end_test.cc
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "entry/tests/entry_fixture.h"
 
@@ -10,6 +13,7 @@
 class StreamedEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamedEndTest);
   CPPUNIT_TEST(CompleteStreamedResponseCountsAsAnswered);
+  CPPUNIT_TEST(HostCanBeDestroyedWhileResponsesAreStreamed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -38,6 +42,37 @@
       CPPUNIT_ASSERT(!end.caller_gone_);
     }
   }
+
+  // Guards against a crash at the end of a stop: a data task that still receives a response passes
+  // it to another one, which has already destroyed its server.
+  void HostCanBeDestroyedWhileResponsesAreStreamed() {
+    for (int round = 0; round < 40; ++round) {
+      FakeTarget target([](Connection& connection) {
+        const std::string head = connection.ReadHead();
+        if (head.empty()) return;
+        const std::string block(20'000, 'b');
+        connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nMonsoonshelf-Call-Id: " +
+                         HeaderOf(head, "Monsoonshelf-Call-Id") + "\r\n\r\n");
+        while (connection.Write("4e20\r\n" + block + "\r\n")) {
+        }
+      });
+      EntryFixture entry;
+      CPPUNIT_ASSERT(entry.Started());
+      entry.targets_ = {target.Address()};
+      entry.Publish();
+      // One caller per data task: the response of one of them is passed on between the tasks.
+      std::vector<std::thread> callers;
+      for (int i = 0; i < 2; ++i) {
+        auto caller = std::make_shared<Connection>(Connection::ConnectTo(entry.Address()));
+        caller->Write(EntryFixture::Request("GET", "/s/svc/pack"));
+        callers.emplace_back([caller] { caller->ReadToEnd(); });
+      }
+      while (target.ConnectionCount() == 0) std::this_thread::yield();
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      entry.DestroyHost();
+      for (auto& caller : callers) caller.join();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamedEndTest);
