entry: a forced stop responds to every call

Cause: at the end of the time allowed, a stop closed the sockets. Calls got no response, also those that were never sent and half-read requests, and only their number was logged.

What callers saw: the connection ended without a response, so that a caller could not know that its call had not run.

Change: a forced stop ends the calls in the state `closing`, within 1 s. The router first ends the calls that are queued or wait for another one, with 503 `not_run` (`host_stopping`), then cancels the sends; those get 504 `unknown` (`stop_cut_calls`) if a byte may have been sent. A queued call must come first, because it would get the slot of a cancelled one. Partly read requests are rejected on the socket. Each call has a `call_end`, also a streamed response that could not be finished.

It works because the sockets stay open, and because a host that forwarded a call places one that was rejected as `host_stopping` itself.

--- a/src/entry/internal/caller_server.cc
+++ b/src/entry/internal/caller_server.cc
@@ -105,6 +105,13 @@
   }
   g_signal_handlers_disconnect_by_data(server_.get(), this);
   soup_server_disconnect(server_.get());
+  for (auto& [handle, call] : calls_) {
+    if (!call->body_written_) {
+      call->end_.outcome_ = call->routed_ ? CallOutcome::kUnknown : CallOutcome::kNotRun;
+      call->end_.code_ = ResultCode::kStopCutCalls;
+    }
+    ReportCallEnd(*call, Now());
+  }
 }
 
 void CallerServer::AcceptConnection(GSocketConnection* connection) {
--- a/src/entry/internal/caller_server.h
+++ b/src/entry/internal/caller_server.h
@@ -64,7 +64,7 @@
                    const ResponseHead& head);
   void DeliverChunk(CallHandle call, const std::string& bytes);
   void DeliverEnd(CallHandle call, bool complete);
-  void DeliverError(CallHandle call, const ErrorResponse& error);
+  void DeliverError(CallHandle call, const ErrorResponse& reason);
 
   // Cancels calls whose caller has disconnected or whose request body is incomplete after the
   // deadline.
@@ -78,6 +78,9 @@
   // Closes connections without a call in flight, except those on which a request is expected, and
   // rejects requests that stay incomplete.
   OpenWork CloseIdleConnections(Time now);
+  // Rejects all partly read requests. From now on, calls that the router cancels are reported as
+  // cut by the stop.
+  void CutPartialRequests(Time now);
 
  private:
   using CallPtr = std::shared_ptr<IncomingCall>;
@@ -117,6 +120,7 @@
   void RejectPartialRequests(Time now, Duration age);
   void RejectPartialRequest(const CallPtr& call, const ErrorResponse& error);
   static void WriteDirectly(GSocket* socket, const std::string& text);
+  static ErrorResponse CutResponse(const ErrorResponse& error);
   void FinishMessage(const CallPtr& call);
   void ReportCallEnd(IncomingCall& call, Time now);
 
@@ -130,6 +134,7 @@
   std::unordered_map<CallHandle, CallPtr> calls_;
   std::unordered_map<SoupServerMessage*, CallPtr> calls_by_message_;
   CallerConnections connections_;
+  bool cutting_ = false;  // CutPartialRequests() was called.
   std::size_t reserved_bytes_ = 0;
   CallHandle next_handle_ = 1;
 };
--- a/src/entry/internal/caller_server_responses.cc
+++ b/src/entry/internal/caller_server_responses.cc
@@ -110,9 +110,14 @@
   if (const CallPtr call = FindCall(handle)) WriteResponse(call, std::move(response));
 }
 
-void CallerServer::DeliverError(CallHandle handle, const ErrorResponse& error) {
+void CallerServer::DeliverError(CallHandle handle, const ErrorResponse& reason) {
   const CallPtr call = FindCall(handle);
   if (call == nullptr) return;
+  const ErrorResponse error = cutting_ ? CutResponse(reason) : reason;
+  if (cutting_ && call->message_ != nullptr && !call->responded_ && !call->body_complete_) {
+    RejectPartialRequest(call, error);
+    return;
+  }
   BufferedResponse response;
   response.head_.status_ = error.status_;
   response.head_.outcome_ = error.outcome_;
--- a/src/entry/internal/caller_server_stop.cc
+++ b/src/entry/internal/caller_server_stop.cc
@@ -86,16 +86,20 @@
   for (const auto& [handle, call] : calls_) {
     busy.insert(SocketOf(*call));
     // libsoup writes a rejection only after the end of the request body. A call that was not
-    // rejected has until its deadline.
-    if (call->message_ != nullptr && !call->routed_ && !call->body_complete_ && call->responded_) {
+    // rejected has until its deadline, unless calls are cut.
+    if (call->message_ != nullptr && !call->routed_ && !call->body_complete_ &&
+        (call->responded_ || cutting_)) {
       partial.push_back(call);
     }
   }
   for (const auto& call : partial) {
     const auto* connection = connections_.Find(SocketOf(*call));
     if (connection == nullptr || now - connection->request_started_ < age) continue;
-    const ErrorResponse error{call->end_.status_, call->end_.outcome_, call->end_.code_,
-                              std::string(ResultCodeName(call->end_.code_)), ""};
+    ErrorResponse error = StoppingResponse();
+    if (call->responded_) {
+      error = {call->end_.status_, call->end_.outcome_, call->end_.code_,
+               std::string(ResultCodeName(call->end_.code_)), ""};
+    }
     RejectPartialRequest(call, error);
   }
   for (auto* connection : connections_.Open()) {
@@ -131,4 +135,16 @@
   (void)written;
 }
 
+void CallerServer::CutPartialRequests(Time now) {
+  cutting_ = true;
+  RejectPartialRequests(now, Duration(0));
+}
+
+ErrorResponse CallerServer::CutResponse(const ErrorResponse& error) {
+  if (error.code_ != ResultCode::kCallCancelled) return error;
+  if (error.outcome_ == CallOutcome::kNotRun) return StoppingResponse();
+  return {504, error.outcome_, ResultCode::kStopCutCalls,
+          "the stop of the entry host cut the call after it was sent", ""};
+}
+
 }  // namespace monsoonshelf::entry
--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -229,9 +229,13 @@
   return count;
 }
 
-OpenWork DataTask::CloseConnections() {
+OpenWork DataTask::CloseConnections(bool cut_partial_requests) {
   OpenWork work;
-  task_.PostAndWait([&] { work = caller_server_->CloseIdleConnections(Now()); });
+  task_.PostAndWait([&] {
+    const Time now = Now();
+    if (cut_partial_requests) caller_server_->CutPartialRequests(now);
+    work = caller_server_->CloseIdleConnections(now);
+  });
   return work;
 }
 
--- a/src/entry/internal/data_task.h
+++ b/src/entry/internal/data_task.h
@@ -48,8 +48,9 @@
   // Returns the number of calls that this task has accepted and that have not ended. This function
   // and the next block until the thread of the task has run them.
   std::size_t CountCalls();
-  // Closes idle caller connections and returns what is left; see CallerServer.
-  OpenWork CloseConnections();
+  // Closes idle caller connections and returns what is left; see CallerServer. Optionally
+  // rejects all partly read requests first.
+  OpenWork CloseConnections(bool cut_partial_requests);
 
  private:
   class ProbeRunner;
--- a/src/entry/internal/dispatch_task.cc
+++ b/src/entry/internal/dispatch_task.cc
@@ -74,6 +74,13 @@
   });
 }
 
+void DispatchTask::CutCalls() {
+  task_.PostAndWait([this] {
+    router_->CutCalls(Now());
+    ArmTickTimer();
+  });
+}
+
 void DispatchTask::ReportSend(SendReport report) {
   auto shared = std::make_shared<SendReport>(std::move(report));
   task_.Post([this, shared] {
--- a/src/entry/internal/dispatch_task.h
+++ b/src/entry/internal/dispatch_task.h
@@ -27,6 +27,8 @@
   void SetRemoteShards(std::vector<coordination::ShardLoad> shards);
   void RouteCall(CallArrival arrival);
   void CancelCall(CallHandle call);
+  // Ends all calls; see Router. Blocks until the thread of the task has run it.
+  void CutCalls();
   void ReportSend(SendReport report);
   void ReportProbe(const ShardKey& shard, const std::string& target,
                    const std::optional<dispatch::LoadReport>& report);
--- a/src/entry/internal/entry_host.cc
+++ b/src/entry/internal/entry_host.cc
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(20);
+// Time for callers to receive the responses of a forced stop.
+constexpr Duration kForcedClosingTime = std::chrono::seconds(1);
 // A caller that refreshes its list of entry hosts at the end of the keep time still calls this host
 // until the response has arrived.
 constexpr Duration kLeaveMargin = std::chrono::seconds(1);
@@ -100,7 +102,13 @@
   }
 
   void ForceStop() {
-    task_.Post([this] { ApplyEvent(LifecycleEvent::kForced); });
+    task_.Post([this] {
+      if (state_ == LifecycleState::kClosing) {
+        ForceClosing();
+      } else {
+        ApplyEvent(LifecycleEvent::kForced);
+      }
+    });
   }
 
   void Stop() {
@@ -163,7 +171,7 @@
   // read request. A single check could miss a request that has just arrived.
   void CheckDrained(Time now) {
     const std::size_t accepted = listener_->AcceptAll();
-    const OpenWork work = CloseConnections();
+    const OpenWork work = CloseConnections(false);
     const bool idle = accepted == 0 && work.calls_ == 0 && work.expected_requests_ == 0;
     idle_checks_ = idle ? idle_checks_ + 1 : 0;
     if (idle_checks_ >= 2) {
@@ -174,7 +182,7 @@
   }
 
   // Stops listening, and waits until the callers have received their responses and closed their
-  // connections. A forced close does not wait.
+  // connections. A forced close first ends the calls in flight with a response.
   void BeginClosing(bool forced) {
     // Requests of connections that are still in the listen queue are rejected.
     listener_->AcceptAll();
@@ -187,7 +195,7 @@
   void ForceClosing() {
     if (result_.forced_) return;
     result_ = {true, CountCalls()};
-    closing_end_ = Now();
+    closing_end_ = Now() + kForcedClosingTime;
     if (!callbacks_.event_) return;
     callbacks_.event_({{"event", "stop_forced"},
                        {"level", "error"},
@@ -196,8 +204,12 @@
   }
 
   void CheckClosed(Time now) {
-    const OpenWork work = CloseConnections();
+    OpenWork work = CloseConnections(result_.forced_);
     if (now >= stop_end_ && work.calls_ > 0) ForceClosing();
+    if (result_.forced_ && work.calls_ > 0) {
+      dispatch_.CutCalls();
+      work = CloseConnections(true);
+    }
     if (now < closing_end_ && work.calls_ + work.expected_requests_ + work.receiving_ > 0) {
       timer_->Set(now + kDrainPollInterval);
     } else {
@@ -211,9 +223,9 @@
     return count;
   }
 
-  OpenWork CloseConnections() {
+  OpenWork CloseConnections(bool cut_partial_requests) {
     OpenWork work;
-    for (auto& task : data_tasks_) work += task->CloseConnections();
+    for (auto& task : data_tasks_) work += task->CloseConnections(cut_partial_requests);
     return work;
   }
 
--- a/src/entry/internal/router.cc
+++ b/src/entry/internal/router.cc
@@ -58,6 +58,13 @@
                     now);
     return;
   }
+  if (cutting_) {
+    FinishWithError(
+        call,
+        {503, CallOutcome::kNotRun, ResultCode::kHostStopping, "the entry host is stopping", ""},
+        now);
+    return;
+  }
   if (!head.idempotent_ && LastHop(head) < Hop::kDispatch && !RegisterCall(call, now_minute, now)) {
     return;
   }
@@ -286,6 +293,20 @@
                   now);
 }
 
+void Router::CutCalls(Time now) {
+  cutting_ = true;
+  // Calls that are being sent come last: the end of one frees a slot, which a queued call would
+  // get. Calls that wait for the outcome of another one come before it, which is not cancelled for
+  // them.
+  for (const Phase phase : {Phase::kQueued, Phase::kWaitingForOutcome, Phase::kSending}) {
+    std::vector<CallHandle> handles;
+    for (const auto& [handle, call] : calls_) {
+      if (call.phase_ == phase) handles.push_back(handle);
+    }
+    for (const CallHandle handle : handles) CancelCall(handle, now);
+  }
+}
+
 void Router::OnTick(Time now) {
   std::vector<ShardKey> due;
   for (const auto& [key, shard] : shards_) {
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -25,6 +25,9 @@
   void OnCall(CallArrival arrival, std::int64_t now_minute, Time now);
   // The caller no longer waits for the call. Its end is still reported.
   void CancelCall(CallHandle handle, Time now);
+  // Ends all calls: those that are not being sent as not run, without placing them in the slots
+  // that become free. Calls that arrive later are rejected.
+  void CutCalls(Time now);
   void OnSendEnd(SendReport report, Time now);
   void OnProbeEnd(const ShardKey& shard, const std::string& target,
                   const std::optional<dispatch::LoadReport>& report, Time now);
@@ -125,6 +128,7 @@
   std::unordered_map<std::string, std::vector<CallHandle>> waiting_duplicates_;
   std::map<ShardKey, coordination::ShardLoad> remote_shards_;
   SendId next_send_ = 1;
+  bool cutting_ = false;  // CutCalls() was called.
 };
 
 // Returns the error response for a send that ended without a response.
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -144,6 +144,11 @@
     return ends_;
   }
 
+  std::vector<CallEnd> Ends() {
+    const std::lock_guard lock(mutex_);
+    return ends_;
+  }
+
   void WaitForEvent(const std::string& text) {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [&] {
--- a/src/entry/tests/planned_stop_test.cc
+++ b/src/entry/tests/planned_stop_test.cc
@@ -78,6 +78,14 @@
   return settings;
 }
 
+records::Rule RuleWithDeadline(Duration deadline) {
+  records::Rule rule;
+  rule.service_ = "svc";
+  rule.deadline_ = deadline;
+  rule.idempotent_ = true;
+  return rule;
+}
+
 }  // namespace
 
 // A planned stop of an entry host as its callers see it: each request that a caller sent gets the
@@ -88,7 +96,11 @@
   CPPUNIT_TEST(PipelinedRequestDoesNotDiscardTheResponseBeforeIt);
   CPPUNIT_TEST(RequestOnConnectionAcceptedWhileDrainingIsRejected);
   CPPUNIT_TEST(PartlyReadRequestIsRejected);
+  CPPUNIT_TEST(ForcedStopRespondsToEveryCall);
+  CPPUNIT_TEST(ForcedStopRejectsPartlyReadRequests);
   CPPUNIT_TEST(RepeatedStopDoesNotCutCalls);
+  CPPUNIT_TEST(ForwardedCallInFlightIsAnsweredOnce);
+  CPPUNIT_TEST(ForwardedQueuedCallIsPlacedAgainAfterAForcedStop);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -207,6 +219,66 @@
     CPPUNIT_ASSERT(!stop.Wait().forced_);
   }
 
+  // Guards against a forced stop that closes the connections of calls without a response: a call
+  // that was never sent is not run, also if its target becomes free, and the outcome of the others
+  // is unknown. Each has a log line.
+  void ForcedStopRespondsToEveryCall() {
+    std::atomic<int> received = 0;
+    FakeTarget target([&](Connection& connection) {
+      connection.ReadHead();
+      ++received;
+      connection.ReadToEnd();
+    });
+    EntryFixture entry(WithoutKeepTime(std::chrono::seconds(2)));
+    entry.service_.slots_ = 1;
+    entry.targets_ = {target.Address()};
+    entry.rules_ = {RuleWithDeadline(std::chrono::seconds(30))};
+    entry.Publish();
+    const std::string deadline = "Monsoonshelf-Deadline-Ms: 30000\r\n";
+    Connection running = Connection::ConnectTo(entry.Address());
+    running.Write(EntryFixture::Request("GET", "/s/svc/a", deadline));
+    while (received == 0) std::this_thread::yield();
+    Connection queued = Connection::ConnectTo(entry.Address());
+    queued.Write(EntryFixture::Request("GET", "/s/svc/b", deadline));
+    StopWaiter stop;
+    stop.Begin(entry);
+    CPPUNIT_ASSERT(stop.Wait().forced_);
+    entry.DestroyHost();
+    const auto ends = entry.Ends();
+    const auto first = EntryFixture::ReadAnswer(running);
+    const auto second = EntryFixture::ReadAnswer(queued);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), first.Outcome());
+    CPPUNIT_ASSERT_EQUAL(504, first.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), second.Outcome());
+    CPPUNIT_ASSERT_EQUAL(503, second.Status());
+    CPPUNIT_ASSERT_EQUAL(1, received.load());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), ends.size());
+  }
+
+  // Guards against a forced stop that closes the connection of a request that has been read in
+  // part without a rejection.
+  void ForcedStopRejectsPartlyReadRequests() {
+    FakeTarget target(EchoHandler);
+    EntryFixture entry(WithoutKeepTime(milliseconds(1300)));
+    entry.targets_ = {target.Address()};
+    entry.Publish();
+    const std::string request = EntryFixture::Request(
+        "POST", "/s/svc/b", "Monsoonshelf-Call-Id: " + entry.NewId() + "\r\n", "body");
+    Connection in_head = Connection::ConnectTo(entry.Address());
+    in_head.Write(request.substr(0, request.size() - 12));
+    Connection in_body = Connection::ConnectTo(entry.Address());
+    in_body.Write(request.substr(0, request.size() - 2));
+    StopWaiter stop;
+    stop.Begin(entry);
+    CPPUNIT_ASSERT(stop.Wait().forced_);
+    for (auto* caller : {&in_head, &in_body}) {
+      const auto answer = EntryFixture::ReadAnswer(*caller);
+      CPPUNIT_ASSERT_EQUAL(503, answer.Status());
+      CPPUNIT_ASSERT_EQUAL(std::string("not_run"), answer.Outcome());
+    }
+    CPPUNIT_ASSERT_EQUAL(0, target.ConnectionCount());
+  }
+
   // Guards against a second stop that cuts calls in flight.
   void RepeatedStopDoesNotCutCalls() {
     Gate gate;
@@ -231,6 +303,95 @@
     CPPUNIT_ASSERT_EQUAL(std::string("done"), EntryFixture::ReadAnswer(running).body_);
     CPPUNIT_ASSERT(!stop.Wait().forced_);
   }
+
+  // Guards against a call that is lost or run twice because the host that dispatches it stops: the
+  // call was accepted by another host and is at the target when the stop begins.
+  void ForwardedCallInFlightIsAnsweredOnce() {
+    for (const std::string method : {"GET", "POST"}) {
+      Gate gate;
+      std::atomic<int> runs = 0;
+      FakeTarget target([&](Connection& connection) {
+        const std::string head = connection.ReadHead();
+        if (head.empty()) return;
+        ++runs;
+        gate.Wait();
+        connection.Write(Response(head, "done"));
+      });
+      const OpenOnExit release(gate);
+      EntrySettings settings;
+      settings.name_ = "h2";
+      EntryFixture accepting(settings);
+      EntryFixture dispatcher(WithoutKeepTime());
+      PublishPair(accepting, dispatcher, target.Address());
+      Connection caller = Connection::ConnectTo(accepting.Address());
+      caller.Write(EntryFixture::Request(method, "/s/svc/a",
+                                         "Monsoonshelf-Call-Id: " + dispatcher.NewId() + "\r\n"));
+      while (runs == 0) std::this_thread::yield();
+      StopWaiter stop;
+      stop.Begin(dispatcher);
+      dispatcher.WaitForEvent("to=draining");
+      gate.Open();
+      const auto answer = EntryFixture::ReadAnswer(caller);
+      CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.body_);
+      CPPUNIT_ASSERT_EQUAL(std::string("answered"), answer.Outcome());
+      CPPUNIT_ASSERT(!stop.Wait().forced_);
+      CPPUNIT_ASSERT_EQUAL(1, runs.load());
+    }
+  }
+
+  // Guards against a call that is lost because the host that queued it for another one is forced to
+  // stop: the call was not run, so the host that accepted it places it itself.
+  void ForwardedQueuedCallIsPlacedAgainAfterAForcedStop() {
+    Gate gate;
+    std::atomic<int> held = 0;
+    FakeTarget target([&](Connection& connection) {
+      const std::string head = connection.ReadHead();
+      if (head.empty()) return;
+      if (head.find(" /hold") != std::string::npos) {
+        ++held;
+        gate.Wait();
+      }
+      connection.Write(Response(head, "done"));
+    });
+    const OpenOnExit release(gate);
+    EntrySettings settings;
+    settings.name_ = "h2";
+    EntryFixture accepting(settings);
+    EntryFixture dispatcher(WithoutKeepTime(milliseconds(1300)));
+    dispatcher.service_.slots_ = 1;
+    PublishPair(accepting, dispatcher, target.Address());
+    Connection running = Connection::ConnectTo(dispatcher.Address());
+    running.Write(EntryFixture::Request("GET", "/s/svc/hold"));
+    while (held == 0) std::this_thread::yield();
+    Connection queued = Connection::ConnectTo(accepting.Address());
+    queued.Write(EntryFixture::Request("GET", "/s/svc/b"));
+    StopWaiter stop;
+    stop.Begin(dispatcher);
+    const auto answer = EntryFixture::ReadAnswer(queued);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"), answer.Outcome());
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), EntryFixture::ReadAnswer(running).Outcome());
+    CPPUNIT_ASSERT(stop.Wait().forced_);
+  }
+
+ private:
+  // Sets views in which `dispatcher`, the host h1, dispatches the shard and `accepting` is h2.
+  static void PublishPair(EntryFixture& accepting, EntryFixture& dispatcher,
+                          const std::string& target) {
+    for (auto* entry : {&accepting, &dispatcher}) {
+      entry->targets_ = {target};
+      entry->rules_ = {RuleWithDeadline(std::chrono::seconds(30))};
+      entry->rules_[0].method_ = "GET";
+      entry->rules_.push_back(entry->rules_[0]);
+      entry->rules_[1].method_ = "POST";
+      entry->rules_[1].idempotent_ = false;
+      entry->view_.members_ = {entry->Member("h1", dispatcher.Address()),
+                               entry->Member("h2", accepting.Address())};
+      entry->view_.placements_[{"svc", "z1"}].dispatcher_ =
+          entry->Member("h1", dispatcher.Address());
+      entry->Publish();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
