--- a/src/entry/internal/data_task.h
+++ b/src/entry/internal/data_task.h
@@ -45,9 +45,12 @@
   void DeliverChunk(CallHandle call, std::string bytes);
   void DeliverEnd(CallHandle call, bool complete);
 
-  // Returns the number of calls that this task has accepted and that have not ended. Optionally
-  // closes idle caller connections first. Blocks until the thread of the task has run it.
-  std::size_t CountCalls(bool close_idle);
+  // Returns the number of calls that this task has accepted and that have not ended. This function
+  // and the next block until the thread of the task has run them.
+  std::size_t CountCalls();
+  // Closes idle caller connections and returns what is left; see CallerServer. Optionally
+  // rejects all partly read requests first.
+  OpenWork CloseConnections(bool cut_partial_requests);
 
  private:
   class ProbeRunner;
@@ -56,6 +59,7 @@
   void RouteCall(CallArrival arrival) override;
   void CancelCall(CallHandle call) override;
   void RequestChunk(std::size_t sending_task, SendId send) override;
+  void ConnectionLingers() override { ArmSweepTimer(); }
   // ISendRelayDelegate.
   void RelayResponse(CallHandle call, BufferedResponse response) override;
   void RelayHead(CallHandle call, SendId send, ResponseHead head) override;
@@ -63,6 +67,13 @@
   void RelayEnd(CallHandle call, bool complete) override;
   void ReportSend(SendReport report) override;
 
+  // Run a function on the thread of the task; without effect after Stop(): the other tasks stop
+  // later and may still send messages.
+  template <typename Function>
+  void PostIfOpen(Function function);
+  template <typename Function>
+  void RunOrPostIfOpen(Function function);
+
   void OnSweep();
   void ArmSweepTimer();
   DataTask& AcceptingTask(CallHandle call) { return *data_tasks_[AcceptingTaskIndex(call)]; }
