gateway: wait before listing again when the history is gone twice

Cause: a feed lists all records at once when its watch fails because the store no longer keeps the changes. If the watch after that list fails for the same reason, it listed again without delay.

The store is allowed to discard its history sooner than announced; each list and each watch is billed and counts toward the read rate of all hosts.

Change: the first loss is followed by a list at once, as before. Until a watch succeeds, further lists follow with the delays of failed calls, which grow to `max_retry_delay_`.

Test: RepeatedLossOfHistoryDelaysTheNextList.

--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -24,6 +24,7 @@
 void RecordFeed::ReadFrom(IRecordStore& store, const FeedSettings& settings) {
   store_ = &store;
   settings_ = settings;
+  history_gone_ = false;
   Restart();
 }
 
@@ -70,7 +71,7 @@
   if (page.has_more_ && !listed_records_.empty()) return List(listed_records_.back().name_);
   needs_list_ = false;
   has_snapshot_ = true;
-  retry_delay_ = settings_.min_retry_delay_;
+  if (!history_gone_) retry_delay_ = settings_.min_retry_delay_;
   // A stale list must not replace newer content; the watch delivers the changes after it.
   if (listed_revision_ >= revision_) {
     revision_ = listed_revision_;
@@ -106,7 +107,13 @@
     needs_list_ = true;
     // A stale list could be older than the remaining history.
     consistency_ = Consistency::kLatest;
-    ListOrWatch();
+    // If a watch fails right after such a list too, the store keeps no history at the moment, and
+    // listing at once would repeat without end.
+    if (std::exchange(history_gone_, true)) {
+      ScheduleRetry();
+    } else {
+      ListOrWatch();
+    }
     return handler_.on_status_(events.status_, Duration(0));
   }
   if (events.status_ != StoreStatus::kOk) {
@@ -115,6 +122,7 @@
   }
   confirmed_at_ = std::max(confirmed_at_, Now() - events.age_);
   is_next_watch_short_ = false;
+  history_gone_ = false;
   retry_delay_ = settings_.min_retry_delay_;
   timer_.Set(Now() + settings_.watch_pause_);
   revision_ = std::max(revision_, events.revision_);
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -70,6 +70,7 @@
   eventloop::Timer timer_;
   bool has_snapshot_ = false;
   bool needs_list_ = true;
+  bool history_gone_ = false;         // The last watch failed with kHistoryGone.
   bool is_next_watch_short_ = false;  // Use a short wait to confirm the content soon.
   // Increases when pending calls are abandoned. Responses to calls of an earlier generation are
   // ignored.
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(FollowsChanges);
   CPPUNIT_TEST(WatchCatchesUpAfterAStaleList);
   CPPUNIT_TEST(ListsLatestRecordsWhenHistoryIsGone);
+  CPPUNIT_TEST(RepeatedLossOfHistoryDelaysTheNextList);
   CPPUNIT_TEST(StaleListDoesNotReplaceNewerContent);
   CPPUNIT_TEST(RetriesAfterRefusedCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -121,6 +122,28 @@
     CPPUNIT_ASSERT(store.list_calls_.back().consistency_ == Consistency::kLatest);
   }
 
+  // Guards against a loop without delay: the store discards its history so fast that each watch
+  // after a list fails. Each of these calls is billed.
+  void RepeatedLossOfHistoryDelaysTheNextList() {
+    Loop loop;
+    MockRecordStore store;
+    FeedObserver observer(store);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return store.HasWaitingWatches(1); }));
+    store.history_begin_ = 1000;
+    const std::size_t lists = store.list_calls_.size();
+    observer.feed_.ReadFrom(
+        store, {.min_retry_delay_ = milliseconds(100), .max_retry_delay_ = milliseconds(400)});
+    loop.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(StoreStatus::kHistoryGone),
+                         static_cast<int>(observer.last_status_));
+    // The first list follows at once, the others after 100 ms and 400 ms.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(store.list_calls_.size() - lists) + " lists in 0.5 s",
+                           store.list_calls_.size() - lists <= 4);
+    store.history_begin_ = 0;
+    store.Put(RecordKind::kEvacuation, ZoneRecord("a"));
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.names_.contains("a"); }));
+  }
+
   // Guards against returning to an older state after a switch to another source.
   void StaleListDoesNotReplaceNewerContent() {
     Loop loop;
