--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,8 +16,8 @@
  public:
   virtual ~Gateway() = default;
 
-  // Starts the graceful stop, which ends within the stop time of the settings. Further calls have no
-  // effect.
+  // Starts the graceful stop, which ends within the stop time of the settings. Further calls have
+  // no effect.
   virtual void Stop() = 0;
   // Applies the fleet bounds of reloaded settings. All other settings keep their values.
   virtual void Reload(const GatewaySettings& settings) = 0;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -69,8 +69,8 @@
   void Start(Time now);
   void OnCallerDisconnected();
   void OnResponseFlushed();
-  // Ends the call because the host has to stop: with 503 if no target can have executed it, with 504
-  // if its outcome is unknown. A response that is being streamed is cut.
+  // Ends the call because the host has to stop: with 503 if no target can have executed it, with
+  // 504 if its outcome is unknown. A response that is being streamed is cut.
   void OnForcedStop(Time now);
   // Returns whether the request was sent to a target that has not responded yet.
   bool HasSendInFlight() const { return !attempts_.empty(); }
