app: a repeated stop signal does not force the end of run

Platforms repeat the signal. Change: only the first signal counts; the end of stop_seconds bounds the stop.

--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -201,13 +201,11 @@
   return callbacks;
 }
 
-// The first SIGTERM or SIGINT begins the graceful stop; a second one forces an immediate stop.
+// The first SIGTERM or SIGINT begins the graceful stop. A further one must not cut the calls in
+// flight: platforms repeat the signal.
 gboolean OnStopSignal(gpointer data) {
   auto& host = *static_cast<RunningHost*>(data);
-  if (host.stopping_) {
-    host.entry_->ForceStop();
-    return G_SOURCE_CONTINUE;
-  }
+  if (host.stopping_) return G_SOURCE_CONTINUE;
   host.stopping_ = true;
   logging::LogEvent(LogLevel::kInfo, "stop_begun");
   host.control_->Leave();
--- a/tests/process/signal_test.cc
+++ b/tests/process/signal_test.cc
@@ -6,6 +6,8 @@
 #include <csignal>
 #include <filesystem>
 
+#include "base/clock.h"
+#include "http/client_connection.h"
 #include "tests/process/child_process.h"
 #include "tests/process/settings_files.h"
 #include "tests/soak/free_port.h"
@@ -48,6 +50,13 @@
   int descriptor_ = -1;
 };
 
+struct IgnoredResponse : http::IExchangeHandler {
+  bool OnHead(http::ResponseHead& /*head*/) override { return true; }
+  void OnBody(std::string& /*body*/) override {}
+  void OnDone() override {}
+  void OnFailed(http::Failure /*failure*/, bool /*sent*/) override {}
+};
+
 }  // namespace
 
 // Guards against a signal that ends the process by its default action because it arrives during the
@@ -57,6 +66,7 @@
   CPPUNIT_TEST(ReloadSignalDuringStartReloadsLater);
   CPPUNIT_TEST(StopSignalsDuringStartOfServeStopInOrder);
   CPPUNIT_TEST(StopSignalsDuringStartOfRunStopInOrder);
+  CPPUNIT_TEST(SecondStopSignalDoesNotForceTheStopOfRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,7 +97,35 @@
     }
   }
 
+  // Guards against cutting calls in flight when a platform repeats the stop signal. A request that
+  // is partly sent keeps the host in the stop until its caller leaves.
+  void SecondStopSignalDoesNotForceTheStopOfRun() {
+    WriteFile(folder_.File("settings"), MakeRunSettings(soak::FreeLoopbackAddress()));
+    ChildProcess run(PROGRAM, {"run", folder_.File("settings")}, {}, folder_.File("log"));
+    CPPUNIT_ASSERT(run.WaitForLog("event=listening"));
+    const std::string log = run.Log();
+    const std::string key = "event=listening address=";
+    const std::size_t begin = log.find(key) + key.size();
+    http::ClientConnection caller(
+        *ParseAddress(log.substr(begin, log.find_first_of(" \n", begin) - begin)), {});
+    IgnoredResponse response;
+    caller.SendRequest("GET /x HTTP/1.1\r\nHost:", false, response);
+    RunFor(std::chrono::milliseconds(100));
+    run.Signal(SIGTERM);
+    RunFor(std::chrono::milliseconds(100));
+    run.Signal(SIGTERM);
+    RunFor(std::chrono::milliseconds(100));
+    caller.Cancel();
+    CPPUNIT_ASSERT(run.WaitForLog("event=stopped forced=0"));
+    CPPUNIT_ASSERT_EQUAL(std::string("exit 0"), run.WaitForEnd());
+  }
+
  private:
+  static void RunFor(Duration time) {
+    const Time end = Now() + time;
+    RunUntil([end] { return Now() >= end; });
+  }
+
   void CheckStopDuringStart(const std::vector<std::string>& arguments, const std::string& text,
                             int number) {
     const std::string file = folder_.File("settings");
