--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <utility>
@@ -37,12 +38,18 @@
 // about other hosts, because they query the directory again when the time to live of its response
 // ends. Later requests are rejected because they might not finish in time.
 constexpr double kLeavingPhaseShare = 0.45;
-// Calls are waited for until this time before the end of the stop time. The rest of the stop time
-// is for their responses.
+// Calls are waited for until this share of the stop time, and until the margin before its end. The
+// rest is for their responses.
+constexpr double kMinCallStopShare = 5.0 / 6;
 constexpr Duration kCallStopMargin = std::chrono::milliseconds(900);
 // Connections are waited for until this time before the end of the stop time, so that the process
 // ends in time even on a slow host.
 constexpr Duration kConnectionStopMargin = std::chrono::milliseconds(300);
+
+Duration CallStopTime(Duration stop_time) {
+  return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
+                  stop_time - kCallStopMargin);
+}
 // Maximum number of entry hosts that are notified about a failed target.
 constexpr std::size_t kMaxFailureRecipients = 16;
 // Request bodies may use the memory limit divided by this number.
@@ -79,6 +86,15 @@
   void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
+  // Closes every connection after its next response, and those that are idle at once. Returns
+  // whether none is left.
+  bool CloseConnections() {
+    connections_.SetCloseAfterResponse(true);
+    connections_.CloseIdle();
+    if (listener_ != nullptr) listener_->AcceptAll();
+    return connections_.Count() == 0;
+  }
+
   Handler handler_;
   std::function<void(const http::ServerConnectionPtr&)> on_caller_gone_;
   http::ServerConnections connections_;
@@ -154,12 +170,7 @@
     return {};
   }
 
-  void Stop() override {
-    HandleLifecycleEvent(lifecycle_state_ == LifecycleState::kStarting ||
-                                 lifecycle_state_ == LifecycleState::kServing
-                             ? LifecycleEvent::kStop
-                             : LifecycleEvent::kForced);
-  }
+  void Stop() override { HandleLifecycleEvent(LifecycleEvent::kStop); }
 
   void Reload(const GatewaySettings& settings) override { settings_.bounds_ = settings.bounds_; }
   bool IsStopped() const override { return lifecycle_state_ == LifecycleState::kStopped; }
@@ -200,18 +211,28 @@
         state_.stopping_ = true;
         caller_connections_.SetCloseAfterResponse(true);
         if (stop_started_ == Time{}) stop_started_ = now;
-        if (CountCallsInFlight() > 0) {
-          logging::LogEvent(
-              logging::LogLevel::kError, "stop_cut_calls",
-              {{"calls", std::to_string(CountCallsInFlight())},
-               {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
-        }
+        EndCalls(now);
         break;
       case LifecycleState::kStopped:
+        // A caller that connects from now on is refused at once and can use another host.
+        caller_listener_.reset();
+        for (QueryServer* server : QueryServers()) server->listener_.reset();
         break;
     }
   }
 
+  // Ends the calls that are left when the time allowed for them has ended.
+  void EndCalls(Time now) {
+    if (calls_.empty()) return;
+    logging::LogEvent(logging::LogLevel::kError, "stop_cut_calls",
+                      {{"calls", std::to_string(calls_.size())},
+                       {"sends_in_flight", std::to_string(CountCallsInFlight())},
+                       {"code", std::to_string(static_cast<int>(ResultCode::kStopCutCalls))}});
+    std::vector<CallPtr> calls;
+    for (const auto& [key, call] : calls_) calls.push_back(call);
+    for (const CallPtr& call : calls) call->OnForcedStop(now);
+  }
+
   std::size_t CountCallsInFlight() const {
     return static_cast<std::size_t>(
         std::count_if(calls_.begin(), calls_.end(),
@@ -231,10 +252,7 @@
     logging::FlushLog();
     ExpireProbes(now);
     caller_connections_.CheckTimeouts(now);
-    directory_server_.connections_.CheckTimeouts(now);
-    readiness_server_.connections_.CheckTimeouts(now);
-    metrics_server_.connections_.CheckTimeouts(now);
-    record_server_.connections_.CheckTimeouts(now);
+    for (QueryServer* server : QueryServers()) server->connections_.CheckTimeouts(now);
     state_.pool_.CloseExpired(now);
     RemoveExpiredTargets(state_, now);
     UpdatePeers(now);
@@ -251,7 +269,7 @@
     if (stop_started_ == Time{}) return;
     const Duration elapsed = now - stop_started_;
     const Duration stop_time = settings_.bounds_.stop_time_;
-    if (elapsed >= stop_time - kCallStopMargin) {
+    if (elapsed >= CallStopTime(stop_time)) {
       HandleLifecycleEvent(LifecycleEvent::kForced);
     } else if (elapsed >= std::chrono::duration_cast<Duration>(stop_time * kLeavingPhaseShare)) {
       HandleLifecycleEvent(LifecycleEvent::kKeepTimeEnded);
@@ -260,16 +278,29 @@
       caller_connections_.CloseIdle();
       if (calls_.empty()) HandleLifecycleEvent(LifecycleEvent::kDrained);
     }
-    if (lifecycle_state_ == LifecycleState::kClosing) {
-      caller_connections_.CloseIdle();
-      // A call ends when its response is in the output buffer of its connection. The connection is
-      // gone when the caller has closed it, or some time after its output was sent.
-      if (caller_connections_.Count() == 0 || elapsed >= stop_time - kConnectionStopMargin) {
-        HandleLifecycleEvent(LifecycleEvent::kClosed);
-      }
+    if (lifecycle_state_ == LifecycleState::kClosing &&
+        (CloseConnections() || elapsed >= stop_time - kConnectionStopMargin)) {
+      HandleLifecycleEvent(LifecycleEvent::kClosed);
     }
   }
 
+  // Returns whether no connection is left. A call ends when its response is in the output buffer of
+  // its connection; the connection is gone when the caller has closed it, or some time after its
+  // output was sent.
+  bool CloseConnections() {
+    caller_connections_.CloseIdle();
+    caller_listener_->AcceptAll();
+    store_sync_.Server().EndWaits();
+    bool all_closed = caller_connections_.Count() == 0;
+    for (QueryServer* server : QueryServers())
+      all_closed = server->CloseConnections() && all_closed;
+    return all_closed;
+  }
+
+  std::array<QueryServer*, 4> QueryServers() {
+    return {&directory_server_, &readiness_server_, &metrics_server_, &record_server_};
+  }
+
   void UpdatePeers(Time now) {
     for (const HostRecord& peer : SelectPeersToPing(peers_, now)) {
       SendToPeer(peer.peer_address_, PeerMessageType::kPing, {});
