--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -29,6 +29,15 @@
 // Response bodies up to this size are forwarded when they are complete, so that the request can be
 // retried if the response breaks off. Larger ones are streamed.
 constexpr std::size_t kMaxBodyBuffer = std::size_t{1} << 20;
+// Maximum size of the response with an error status that is kept in case all attempts fail, in
+// bytes, and of other responses that may be forwarded only when they are complete (3xx, 4xx).
+constexpr std::uint64_t kMaxCompleteResponseBytes = kMaxBodyBuffer;
+// Maximum size of a response that cannot be forwarded, in bytes. It is read to its end so that the
+// connection can be reused.
+constexpr std::uint64_t kMaxUnusableResponseBytes = std::uint64_t{128} * 1024;
+// Time that the rest of such a response has after its head. A target sends its short responses at
+// once.
+constexpr Duration kUnusableResponseGrace = std::chrono::milliseconds(50);
 // Responses after which the service time is considered known.
 constexpr int kMinServiceTimeSamples = 5;
 // Status with which a target responds when the deadline of the request has passed.
@@ -91,25 +100,34 @@
     }
     response_ = std::move(response);
     head_ = head;
+    if (!IsForwardable()) {
+      connection_->LimitResponse(IsUsable() ? kMaxCompleteResponseBytes
+                                            : kMaxUnusableResponseBytes);
+    }
+    if (!IsUsable() && (IsIdempotent(call_.route_->kind_) || !IsNotExecuted())) {
+      give_up_at_ = Now() + kUnusableResponseGrace;
+      call_.SetTimer();
+    }
     return true;
   }
 
   void OnBody(std::string& body) override {
+    received_bytes_ += body.size();
+    if (call_.connection_ == nullptr) {
+      // The caller has left, and the request goes on only because it is not idempotent.
+      body_ = {};
+      return body.clear();
+    }
     if (streamed_) {
       call_.connection_->WriteChunk(body);
       body.clear();
       if (call_.connection_->UnsentBytes() > kMaxUnsentBytes) connection_->PauseReading(true);
       return;
     }
-    body_.append(body);
+    if (IsUsable()) body_.append(body);
     body.clear();
-    if (body_.size() <= kMaxBodyBuffer || !IsForwardable() || call_.connection_ == nullptr) return;
-    streamed_ = true;
-    call_.streaming_ = true;
-    call_.connection_->BeginChunkedResponse(head_.status_,
-                                            call_.state_.format_.HeadersForCaller(head_));
-    call_.connection_->WriteChunk(body_);
-    body_.clear();
+    if (body_.size() <= kMaxBodyBuffer || !IsForwardable()) return;
+    call_.BeginStreaming(*this);
   }
 
   void OnDone() override {
@@ -129,6 +147,14 @@
     return head_.status_ >= 200 && head_.status_ < 300 && response_.is_signed_ &&
            !response_.is_encoded_ && !response_.not_run_;
   }
+  // Returns whether the target states that it did not execute the request.
+  bool IsNotExecuted() const { return response_.not_run_ || response_.misdirected_; }
+  // Returns whether the response may be forwarded when it is complete, at least if all other
+  // attempts fail.
+  bool IsUsable() const {
+    if (!response_.is_signed_ || IsNotExecuted()) return false;
+    return !response_.is_encoded_ || (head_.status_ >= 300 && head_.status_ < 500);
+  }
 
   Call& call_;
   TargetPtr target_;
@@ -138,6 +164,9 @@
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
+  std::uint64_t received_bytes_ = 0;  // Of the body.
+  // When the attempt fails although its response is not complete, because it is not usable.
+  Time give_up_at_ = Time::max();
   bool complete_ = false;
   bool streamed_ = false;
 };
@@ -395,6 +424,7 @@
   Time next = deadline_;
   if (selecting_) next = std::min(next, round_end_);
   next = std::min(next, hedge_at_);
+  for (const auto& attempt : attempts_) next = std::min(next, attempt->give_up_at_);
   timer_.Set(next);
 }
 
@@ -403,6 +433,8 @@
   if (is_finished_) return;
   const Time now = Now();
   if (now >= deadline_) return OnDeadline(now);
+  EndUnusableResponses(now);
+  if (is_finished_) return;
   if (selecting_ && now >= round_end_) {
     EvaluateRound(now);
   } else if (now >= hedge_at_) {
@@ -414,13 +446,17 @@
   if (!is_finished_) SetTimer();
 }
 
-void Call::OnDeadline(Time now) {
-  if (streaming_) {
-    // A streamed response may continue after the deadline, as long as the caller and the target
-    // keep the connections open.
-    deadline_ = now + std::chrono::seconds(30);
-    return SetTimer();
+void Call::EndUnusableResponses(Time now) {
+  const auto attempts = attempts_;
+  for (const auto& attempt : attempts) {
+    if (is_finished_ || now < attempt->give_up_at_) continue;
+    attempt->connection_->Cancel();
+    OnAttemptResponse(*attempt);
   }
+}
+
+void Call::OnDeadline(Time now) {
+  if (streaming_) return OnStreamDeadline(now);
   for (const auto& attempt : attempts_) {
     state_.metrics_.CountSend(service_, "timeout");
     CountTargetTimeout(*attempt->target_, now - attempt->sent_at_, now);
@@ -433,6 +469,26 @@
   RespondWithError(503, EndReason::kTooLate, Duration(0), now);
 }
 
+// A download may take longer than its deadline, and the silence of a target must not end a response
+// before the deadline. After it, a response without any progress would keep the request for ever.
+void Call::OnStreamDeadline(Time now) {
+  Attempt& attempt = *attempts_.front();
+  const auto position = std::make_pair(attempt.received_bytes_, connection_->UnsentBytes());
+  if (position != last_stream_position_) {
+    last_stream_position_ = position;
+    deadline_ = now + state_.settings_.stream_stall_timeout_;
+    return SetTimer();
+  }
+  if (connection_->UnsentBytes() == 0) {
+    attempt.connection_->Cancel();
+    return OnAttemptFailed(attempt, "stalled");
+  }
+  // The caller does not read.
+  CancelAttempts();
+  connection_->Abort();
+  Finish(0, EndReason::kTimedOut, now);
+}
+
 void Call::CountTargetTimeout(TargetState& target, Duration duration, Time now) {
   // If the deadline was too short from the start, the timeout is not a failure of the target.
   if (duration < MakePlacementInputs().service_time_ * 3) return;
@@ -451,6 +507,7 @@
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
     CancelAttempts();
+    if (connection_ == nullptr) return Finish(status, EndReason::kCallerGone, now);
     connection_->EndChunkedResponse();
     return Finish(status, EndReason::kAnswered, now);
   }
@@ -463,7 +520,7 @@
     return RelayResponse(attempt);
   }
   if (attempt.response_.misdirected_) attempt.target_->misdirected_ = true;
-  if (attempt.response_.not_run_ || attempt.response_.misdirected_) {
+  if (attempt.IsNotExecuted()) {
     --possibly_executed_sends_;
     return OnAttemptFailed(attempt, attempt.response_.misdirected_ ? "misdirected" : "refused");
   }
@@ -487,7 +544,7 @@
                      {"status", std::to_string(attempt.head_.status_)},
                      {"after_ms", FormatMilliseconds(now - attempt.sent_at_)},
                      {"kind", std::string(NameOf(kRequestKindNames, route_->kind_))}});
-  if (attempt.head_.status_ == kGatewayTimeoutStatus) {
+  if (attempt.head_.status_ == kGatewayTimeoutStatus && result == "error") {
     CountTargetTimeout(*attempt.target_, now - attempt.sent_at_, now);
   } else if (result == "not_sent") {
     RecordProbeFailure(attempt.target_->health_, now);
@@ -497,12 +554,12 @@
   }
   const bool streamed = attempt.streamed_;
   RemoveAttempt(attempt);
+  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   if (streamed) {
     connection_->Abort();
     CancelAttempts();
     return Finish(0, EndReason::kTargetFailed, now);
   }
-  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   if (!attempts_.empty() || selecting_) return;  // Another attempt is in progress.
   RetryOrFail(now);
 }
@@ -533,15 +590,30 @@
   attempts_.erase(found);
 }
 
-void Call::CancelAttempts() {
+void Call::CancelAttempts(const Attempt* kept) {
   // Closing the connection cancels the request at the target.
-  for (const auto& attempt : attempts_) {
+  std::erase_if(attempts_, [this, kept](const std::shared_ptr<Attempt>& attempt) {
+    if (attempt.get() == kept) return false;
     --attempt->target_->in_flight_;
     attempt->connection_->Cancel();
     state_.pool_.Release(attempt->connection_);
     finished_attempts_.push_back(attempt);
-  }
-  attempts_.clear();
+    return true;
+  });
+}
+
+void Call::BeginStreaming(Attempt& attempt) {
+  // The caller gets one response only, so no other attempt may continue or start.
+  streaming_ = true;
+  attempt.streamed_ = true;
+  hedge_at_ = Time::max();
+  if (selecting_) EndSelection();
+  CancelAttempts(&attempt);
+  connection_->BeginChunkedResponse(attempt.head_.status_,
+                                    state_.format_.HeadersForCaller(attempt.head_));
+  connection_->WriteChunk(attempt.body_);
+  attempt.body_ = {};
+  SetTimer();
 }
 
 void Call::RelayResponse(Attempt& attempt) {
@@ -556,13 +628,12 @@
 }
 
 void Call::RespondWithError(int status, EndReason reason, Duration retry_after, Time now) {
-  if (connection_ != nullptr) {
-    http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
-    headers.emplace_back("Content-Type", "text/plain");
-    if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
-    retry_after_ = retry_after;
-    connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
-  }
+  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
+  http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
+  headers.emplace_back("Content-Type", "text/plain");
+  if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  retry_after_ = retry_after;
+  connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   Finish(status, reason, now);
 }
 
@@ -609,7 +680,9 @@
   connection_.reset();
   if (!attempts_.empty() && !IsIdempotent(route_->kind_)) {
     // A non-idempotent request is not cancelled: a caller that returns finds it either executed or
-    // not executed, but never interrupted.
+    // not executed, but never interrupted. Nobody slows down its response any more.
+    streaming_ = false;
+    for (const auto& attempt : attempts_) attempt->connection_->PauseReading(false);
     return SetTimer();
   }
   CancelAttempts();
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/enum_names.h"
@@ -94,6 +95,9 @@
   void OnTimer();
   void SetTimer();
   void OnDeadline(Time now);
+  void OnStreamDeadline(Time now);
+  // Ends the attempts whose response is not usable and did not end within its grace period.
+  void EndUnusableResponses(Time now);
 
   void CountTargetTimeout(TargetState& target, Duration duration, Time now);
   void OnAttemptResponse(Attempt& attempt);
@@ -101,7 +105,10 @@
   // Retries after a failed attempt if this is allowed; otherwise responds with an error.
   void RetryOrFail(Time now);
   void RemoveAttempt(Attempt& attempt);
-  void CancelAttempts();
+  // Cancels all attempts except `kept`.
+  void CancelAttempts(const Attempt* kept = nullptr);
+  // Forwards the response of `attempt` in pieces from now on.
+  void BeginStreaming(Attempt& attempt);
 
   void RelayResponse(Attempt& attempt);
   void RespondWithError(int status, EndReason reason, Duration retry_after, Time now);
@@ -147,6 +154,9 @@
   Duration retry_after_{};                   // Sent to a rejected caller.
   std::shared_ptr<Attempt> error_response_;  // Complete response of a target with an error status.
   bool streaming_ = false;
+  // Bytes received from the target and bytes that the caller's socket has not accepted yet, when
+  // the deadline of the streamed response was last extended.
+  std::optional<std::pair<std::uint64_t, std::size_t>> last_stream_position_;
   eventloop::Timer timer_;
 };
 
