soak: judge responses lost around stops

Cause: responses were lost around planned stops, and the soak did not fail, because it only counted requests without a response, sent small requests to quick readers and signalled a process once.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/caller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
@@ -12,6 +13,8 @@
 constexpr Duration kDeadline = std::chrono::milliseconds(2000);
 constexpr Duration kDirectoryTimeout = std::chrono::seconds(1);
 constexpr Duration kRequestInterval = std::chrono::milliseconds(40);
+// The gateway streams responses above 1 MiB.
+constexpr std::uint64_t kMaxQuickBytes = 3'000'000;
 
 }  // namespace
 
@@ -35,6 +38,8 @@
   if (request_in_progress_) {
     // The deadline has passed: the caller closes the connection.
     ++results_.without_response_;
+    request_.gave_up_ = true;
+    AddLostRequest(http::Failure::kNone);
     connection_->Cancel();
     return Finish();
   }
@@ -81,8 +86,10 @@
   counts_for_recovery_ = counting_recovery_;
   if (counts_for_recovery_) ++results_.sent_after_recovery_;
   const std::string body = non_idempotent ? std::string(random_() % 3000, 'b') : std::string();
-  const std::string path = std::string(non_idempotent ? "/once/" : "/safe/") + id_;
-  expected_body_ = "done " + path + body;
+  std::string path = std::string(non_idempotent ? "/once/" : "/safe/") + id_;
+  if (random_() % 40 == 0) path += "/large-" + std::to_string(random_() % kMaxQuickBytes);
+  expected_body_ = ExpectedBody(path, body);
+  request_ = {id_, address_, {}, Now(), Now()};
   status_ = 0;
   has_signature_ = false;
   body_.clear();
@@ -122,18 +129,29 @@
     results_.refused_.push_back(id_);
   } else if (status_ >= 500) {
     ++results_.unknown_;
+    if (!has_signature_) AddLostRequest(http::Failure::kNone);
   } else {
     results_.violations_.push_back("unexpected status " + std::to_string(status_) + " for " + id_);
   }
   Finish();
 }
 
-void Caller::OnFailed(http::Failure /*failure*/, bool /*sent*/) {
+void Caller::OnFailed(http::Failure failure, bool sent) {
   ++results_.without_response_;
+  if (sent) AddLostRequest(failure);
   failed_addresses_.insert(address_);
   Finish();
 }
 
+void Caller::AddLostRequest(http::Failure failure) {
+  request_.failure_ = failure;
+  request_.ended_ = Now();
+  request_.description_ = "status " + std::to_string(status_) + ", " +
+                          std::to_string(body_.size()) + " of " +
+                          std::to_string(expected_body_.size()) + " bytes received";
+  results_.lost_.push_back(request_);
+}
+
 void Caller::Finish() {
   request_in_progress_ = false;
   ScheduleNext(kRequestInterval);
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -33,6 +33,7 @@
   void OnTimer();
   void QueryDirectory();
   void Send();
+  void AddLostRequest(http::Failure failure);
   void Finish();
 
   bool OnHead(http::ResponseHead& head) override;
@@ -51,6 +52,7 @@
   Time addresses_expire_at_{};
   http::ClientConnectionPtr connection_;
   std::string id_;
+  LostRequest request_;  // The current request, in case it gets lost.
   std::string expected_body_;
   int status_ = 0;
   bool has_signature_ = false;
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -1,5 +1,8 @@
 #include "tests/soak/target.h"
 
+#include <algorithm>
+#include <cstdlib>
+#include <string_view>
 #include <utility>
 
 #include "base/clock.h"
@@ -14,6 +17,21 @@
 
 }  // namespace
 
+std::string ExpectedBody(const std::string& path, const std::string& body) {
+  constexpr std::string_view kLarge = "/large-";
+  static const std::string large_body = [] {
+    std::string text;
+    for (std::size_t i = 0; text.size() < kMaxLargeBytes; ++i) text += std::to_string(i) + ",";
+    return text;
+  }();
+  std::string text = "done " + path + body;
+  const std::size_t at = path.rfind(kLarge);
+  if (at != std::string::npos) {
+    text.append(large_body, 0, std::strtoull(&path[at + kLarge.size()], nullptr, 10));
+  }
+  return text;
+}
+
 Target::Target(std::string name, std::string zone, Store& store, SoakResults& results,
                std::uint64_t seed)
     : name_(std::move(name)),
@@ -42,6 +60,36 @@
         {{"state", draining ? "draining" : "ready"}, {"sequence", 1}, {"warmupLeftMs", 0}}}});
 }
 
+void Target::SetMode(TargetMode mode) {
+  mode_ = mode;
+  UpdateFaultTimes();
+}
+
+void Target::SetLinkState(LinkState state) {
+  link_state_ = state;
+  proxy_->SetState(state);
+  UpdateFaultTimes();
+}
+
+void Target::ResetConnections() {
+  faults_.AddShortFault(Now());
+  proxy_->ResetConnections();
+}
+
+void Target::EndFaults() {
+  SetMode(TargetMode::kHealthy);
+  SetLinkState(LinkState::kHealthy);
+  ResetConnections();
+}
+
+void Target::UpdateFaultTimes() {
+  if (mode_ == TargetMode::kHealthy && link_state_ == LinkState::kHealthy) {
+    faults_.End(Now());
+  } else {
+    faults_.Begin(Now());
+  }
+}
+
 void Target::OnRequest(const http::ServerConnectionPtr& connection, http::Request request) {
   const http::Headers& headers = request.head_.headers_;
   const std::string load = std::to_string(std::min(running_.size(), kSlots)) + "," +
@@ -61,6 +109,8 @@
   }
   if (Now() > no_requests_after_)
     results_.violations_.push_back("request at " + name_ + " after it left service: " + *id);
+  std::vector<TargetWork>& work = results_.work_[*id];
+  work.push_back({&faults_, Now()});
   if (mode_ == TargetMode::kRefuses || running_.size() >= kSlots + kMaxQueue) {
     return connection->Respond(503, {{"Not-Executed", "1"}, {"Attempt-Id", *id}}, {});
   }
@@ -74,13 +124,16 @@
   const int work_ms =
       mode_ == TargetMode::kHangs ? 60'000 : std::uniform_int_distribution<int>(10, 60)(random_);
   const std::size_t ahead = running_.size() < kSlots ? 0 : running_.size() - kSlots + 1;
-  running_.push_back({connection, *id, request.head_.target_ + request.body_,
-                      Now() + std::chrono::milliseconds(work_ms * (1 + ahead))});
+  running_.push_back({connection, *id, ExpectedBody(request.head_.target_, request.body_),
+                      Now() + std::chrono::milliseconds(work_ms * (1 + ahead)), work.size() - 1});
 }
 
 void Target::OnCallerDisconnected(const http::ServerConnectionPtr& connection) {
-  std::erase_if(running_,
-                [&](const RunningRequest& request) { return request.connection_ == connection; });
+  std::erase_if(running_, [&](const RunningRequest& request) {
+    if (request.connection_ != connection) return false;
+    results_.work_[request.id_][request.work_].end_ = Now();
+    return true;
+  });
 }
 
 void Target::OnRejected(int status, std::string_view reason) {
@@ -100,8 +153,9 @@
     }
   }
   for (const RunningRequest& request : due) {
+    results_.work_[request.id_][request.work_].end_ = now;
     request.connection_->Respond(200, {{"Attempt-Id", request.id_}, {"Server-Signature", name_}},
-                                 "done " + request.body_);
+                                 request.body_);
   }
   timer_.Set(now + kTimerInterval);
 }
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -9,6 +9,7 @@
 #include "eventloop/timer.h"
 #include "http/listener.h"
 #include "http/server_connection.h"
+#include "tests/soak/loss_check.h"
 #include "tests/soak/store.h"
 #include "tests/soak/tcp_proxy.h"
 
@@ -19,6 +20,9 @@
   std::map<std::string, int> executions_;  // By attempt identifier.
   // By attempt identifier; true if the request is not idempotent.
   std::map<std::string, bool> sent_;
+  // By attempt identifier: each arrival at a target.
+  std::map<std::string, std::vector<TargetWork>> work_;
+  std::vector<LostRequest> lost_;
   std::vector<std::string> refused_;  // Attempts answered as not executed.
   std::vector<std::string> violations_;
   int answered_ = 0;
@@ -30,6 +34,12 @@
 
 enum class TargetMode { kHealthy, kHangs, kFails, kResets, kRefuses };
 
+// Largest N of a path that ends with "/large-N".
+inline constexpr std::size_t kMaxLargeBytes = 8'000'000;
+// Returns the body of the response to a request: its path, its body and, for a path that ends with
+// "/large-N", N further bytes.
+std::string ExpectedBody(const std::string& path, const std::string& body);
+
 // A target on loopback, behind a proxy, that registers itself in the store.
 class Target : private http::IServerHandler {
  public:
@@ -38,8 +48,11 @@
 
   // Writes the registration of the target with the state "draining" or "ready".
   void Register(bool draining);
-  void SetMode(TargetMode mode) { mode_ = mode; }
-  TcpProxy& Proxy() { return *proxy_; }
+  // Unplanned faults, until EndFaults or for a moment.
+  void SetMode(TargetMode mode);
+  void SetLinkState(LinkState state);
+  void ResetConnections();
+  void EndFaults();
   const std::string& Name() const { return name_; }
   const std::string& Zone() const { return zone_; }
   // A request that arrives after `time` is a violation; Time::max() if requests may always arrive.
@@ -51,12 +64,14 @@
     std::string id_;
     std::string body_;
     Time end_{};
+    std::size_t work_ = 0;  // Index in SoakResults::work_.
   };
   void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override;
   void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override;
   void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
   void OnRejected(int status, std::string_view reason) override;
   void OnTimer();
+  void UpdateFaultTimes();
 
   std::string name_;
   std::string zone_;
@@ -66,6 +81,8 @@
   std::unique_ptr<http::Listener> listener_;
   std::unique_ptr<TcpProxy> proxy_;
   TargetMode mode_ = TargetMode::kHealthy;
+  LinkState link_state_ = LinkState::kHealthy;
+  FaultTimes faults_;
   Time no_requests_after_ = Time::max();
   std::vector<RunningRequest> running_;
   std::mt19937_64 random_;
