--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -125,7 +126,8 @@
 
   void RunFor(Duration time) {
     const Time end = Now() + time;
-    while (Now() < end) {
+    for (Time now = Now(), last = now; now < end; last = now, now = Now()) {
+      max_loop_gap_ = std::max(max_loop_gap_, now - last);
       if (g_main_context_iteration(nullptr, FALSE) == FALSE) g_usleep(300);
       RunDueSignals();
       // The signal has to arrive within the first millisecond in which the process listens.
@@ -292,6 +294,8 @@
               << " faults=" << faults_ << " requests=" << results_.sent_.size()
               << " answered=" << results_.answered_ << " refused=" << results_.refused_.size()
               << " unknown=" << results_.unknown_ << " lost=" << results_.without_response_
+              << " hosts=" << hosts_.size()
+              << " loop_gap_ms=" << std::chrono::duration_cast<milliseconds>(max_loop_gap_).count()
               << " violations=" << results_.violations_.size() << std::endl;
     return results_.violations_.empty();
   }
@@ -309,6 +313,8 @@
   int config_version_ = 0;
   int faults_ = 0;
   unsigned loop_iterations_ = 0;
+  // Longest time in which callers and targets were not served, to judge the times in a violation.
+  Duration max_loop_gap_{};
 };
 
 int Main(int argc, char** argv) {
