--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -149,6 +149,7 @@
 
 void ServerConnection::OnOutputFlushed() {
   if (state_ == State::kStreaming) owner_.handler_.OnResponseFlushed(shared_from_this());
+  if (state_ == State::kClosing) state_entered_at_ = Now();  // The linger time begins.
 }
 
 void ServerConnection::OnClosed(Failure failure) {
@@ -226,4 +227,16 @@
   }
 }
 
+ConnectionCounts ServerConnections::CountByState() const {
+  ConnectionCounts counts;
+  counts.open_ = connections_.size();
+  for (const auto& connection : connections_) {
+    if (connection->IsReading()) ++counts.reading_;
+    if (connection->IsBusy()) ++counts.busy_;
+    if (connection->IsClosing()) ++counts.closing_;
+    counts.unsent_bytes_ += connection->UnsentBytes();
+  }
+  return counts;
+}
+
 }  // namespace monsoonshelf::http
