--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -146,6 +146,7 @@
 void Caller::AddLostRequest(http::Failure failure) {
   request_.failure_ = failure;
   request_.ended_ = Now();
+  request_.ended_after_ = results_.last_poll_;
   request_.description_ = "status " + std::to_string(status_) + ", " +
                           std::to_string(body_.size()) + " of " +
                           std::to_string(expected_body_.size()) + " bytes received";
--- a/tests/soak/loss_check.h
+++ b/tests/soak/loss_check.h
@@ -46,6 +46,8 @@
   Time first_byte_sent_{};
   Time last_byte_sent_{};  // Of the part that was sent.
   Time ended_{};
+  // When the soak last looked for events before: the host may have closed at any time after it.
+  Time ended_after_{};
   http::Failure failure_ = http::Failure::kNone;  // kNone: the host responded with an error.
   bool gave_up_ = false;                          // The caller closed the connection itself.
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -128,6 +128,7 @@
     const Time end = Now() + time;
     for (Time now = Now(), last = now; now < end; last = now, now = Now()) {
       max_loop_gap_ = std::max(max_loop_gap_, now - last);
+      results_.last_poll_ = last;
       if (g_main_context_iteration(nullptr, FALSE) == FALSE) g_usleep(300);
       RunDueSignals();
       // The signal has to arrive within the first millisecond in which the process listens.
--- a/tests/soak/persistent_caller.cc
+++ b/tests/soak/persistent_caller.cc
@@ -199,6 +199,7 @@
   void AddLostRequest(const std::string& description) {
     request_.description_ = description;
     request_.ended_ = Now();
+    request_.ended_after_ = caller_.results_.last_poll_;
     caller_.results_.lost_.push_back(request_);
   }
 
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -23,6 +23,7 @@
   // By attempt identifier: each arrival at a target.
   std::map<std::string, std::vector<TargetWork>> work_;
   std::vector<LostRequest> lost_;
+  Time last_poll_{};                  // Begin of the previous iteration of the main loop.
   std::vector<std::string> refused_;  // Attempts answered as not executed.
   std::vector<std::string> violations_;
   int answered_ = 0;
