--- a/src/app/internal/run_command.cc
+++ b/src/app/internal/run_command.cc
@@ -249,10 +249,15 @@
 
 Result<int> Run(RunningHost& host, const Arguments& arguments) {
   BOOST_LEAF_AUTO(file, ParseSettingsPath(arguments));
-  host.loop_ = g_main_loop_new(nullptr, FALSE);
-  BOOST_LEAF_CHECK(StartModules(host, file));
+  // Before all work that takes time: a signal that arrives during it is handled when the main loop
+  // runs.
   g_unix_signal_add(SIGTERM, OnStopSignal, &host);
   g_unix_signal_add(SIGINT, OnStopSignal, &host);
+  // The first log lines may be written to a pipe without a reader before the entry host starts,
+  // which also ignores this signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  host.loop_ = g_main_loop_new(nullptr, FALSE);
+  BOOST_LEAF_CHECK(StartModules(host, file));
   // Queue lengths and free slots change without a new view, so they are also reported periodically.
   g_timeout_add_seconds(
       1,
@@ -278,6 +283,9 @@
                              return error.code_ == ResultCode::kUsage ? kExitUsage : kExitFailed;
                            });
   StopModules(host);
+  // The destructor of the metrics endpoint waits for its threads, and they wait up to a second for
+  // each open connection. The process ends without it.
+  static_cast<void>(host.metrics_.release());
   logging::TearDownLogging();
   if (host.loop_ != nullptr) g_main_loop_unref(host.loop_);
   return code;
--- a/src/entry/internal/caller_server_responses.cc
+++ b/src/entry/internal/caller_server_responses.cc
@@ -76,6 +76,7 @@
   }
   if (mode_ == ServingMode::kLeaving || mode_ == ServingMode::kDraining) {
     soup_message_headers_append(headers, "Connection", "close");
+    call.closes_connection_ = true;
   }
   if (head.body_length_ >= 0) {
     soup_message_headers_set_content_length(headers, head.body_length_);
@@ -109,9 +110,14 @@
   if (const CallPtr call = FindCall(handle)) WriteResponse(call, std::move(response));
 }
 
-void CallerServer::DeliverError(CallHandle handle, const ErrorResponse& error) {
+void CallerServer::DeliverError(CallHandle handle, const ErrorResponse& reason) {
   const CallPtr call = FindCall(handle);
   if (call == nullptr) return;
+  const ErrorResponse error = cutting_ ? CutResponse(reason) : reason;
+  if (cutting_ && call->message_ != nullptr && !call->responded_ && !call->body_complete_) {
+    RejectPartialRequest(call, error);
+    return;
+  }
   BufferedResponse response;
   response.head_.status_ = error.status_;
   response.head_.outcome_ = error.outcome_;
@@ -212,6 +218,11 @@
 }
 
 void CallerServer::FinishMessage(const CallPtr& call) {
+  GSocket* socket = SocketOf(*call);
+  if (call->closes_connection_ && call->body_written_ && socket != nullptr) {
+    connections_.Linger(socket, Now());
+    delegate_.ConnectionLingers();
+  }
   calls_by_message_.erase(call->message_.get());
   g_signal_handlers_disconnect_by_data(call->message_.get(), this);
   call->message_.reset();
--- a/tests/soak/hosts.cc
+++ b/tests/soak/hosts.cc
@@ -14,8 +14,8 @@
 #include <utility>
 
 #include "base/clock.h"
-#include "http/listener.h"
 #include "http/socket_address.h"
+#include "tests/soak/free_port.h"
 
 namespace monsoonshelf::soak {
 
@@ -26,34 +26,6 @@
 // Time from the line "stopped" to the end of the process: it has only to free its memory.
 constexpr Duration kExitTime = std::chrono::seconds(1);
 
-std::string LoopbackAddress(int port) { return "127.0.0.1:" + std::to_string(port); }
-
-// Returns a free port below the range of outgoing connections: the system could give a port of that
-// range to a connection while the host of the port is down. Several soaks may run in parallel, so
-// each one takes blocks of ports and listens on the first port of a block to keep the others off.
-int FreePort() {
-  constexpr int kFirstPort = 10'000;
-  constexpr int kPortsPerBlock = 100;
-  constexpr int kBlockCount = 225;
-  static std::vector<std::unique_ptr<http::Listener>> block_locks;
-  static int block = static_cast<int>(getpid() % kBlockCount);
-  static int next = 0;
-  const auto listen = [](int port) {
-    auto listener = http::Listener::Open(LoopbackAddress(port), [](int /*descriptor*/) {});
-    return listener ? std::move(listener.value()) : nullptr;
-  };
-  while (true) {
-    if (next % kPortsPerBlock == 0) {
-      auto lock = listen(kFirstPort + ++block % kBlockCount * kPortsPerBlock);
-      if (lock == nullptr) continue;
-      block_locks.push_back(std::move(lock));
-      next = kFirstPort + block % kBlockCount * kPortsPerBlock + 1;
-    }
-    const int port = next++;
-    if (listen(port) != nullptr) return port;
-  }
-}
-
 // Connections to loopback are established or refused at once.
 bool AcceptsConnections(const std::string& address) {
   const http::SocketAddress target = http::ToSocketAddress(*ParseAddress(address));
@@ -72,15 +44,15 @@
       zone_(zone),
       settings_file_(folder + "/" + name_ + ".toml"),
       log_file_(folder + "/" + name_ + ".log"),
-      front_address_(LoopbackAddress(FreePort())),
-      directory_address_(LoopbackAddress(FreePort())),
+      front_address_(FreeLoopbackAddress()),
+      directory_address_(FreeLoopbackAddress()),
       store_proxy_(store),
       last_stop_duration_(std::chrono::milliseconds(450 * kStopGraceSeconds)) {
   stops_.grace_ = std::chrono::seconds(kStopGraceSeconds);
   const int peer_port = FreePort();
   other_settings_ = "portRange = [" + std::to_string(peer_port) +
                     ", 0]\nseeds = []\n[bind]\nfront = \"" + front_address_ + "\"\nreadiness = \"" +
-                    LoopbackAddress(FreePort()) + "\"\ncontrol = \"" + LoopbackAddress(FreePort()) +
+                    FreeLoopbackAddress() + "\"\ncontrol = \"" + FreeLoopbackAddress() +
                     "\"\ndirectory = \"" + directory_address_ + "\"\n[platform]\naddress = \"" +
                     store_proxy_.GetAddress() + "\"\n";
   WriteSettings();
