http: an empty line after a request leaves the connection idle

An empty line after a request body put the connection into the state in which a request is read. After the header timeout its caller got a 408 that belonged to no request, and a stop waited for it until then.

EmptyLineAfterARequestLeavesTheConnectionIdle failed before (1 connection reading) and passes now.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -50,7 +50,10 @@
     // Empty lines before a request line are ignored, as RFC 9112 recommends.
     const std::size_t begin = input.find_first_not_of("\r\n");
     input.erase(0, std::min(begin, input.size()));
-    if (input.empty()) return;
+    if (input.empty()) {
+      state_ = State::kIdle;
+      return;
+    }
     parser_ = std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
                                               owner_.limits_.max_body_bytes_);
     continue_sent_ = false;
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
   CPPUNIT_TEST(IdleCloseLingersLikeAnyOther);
+  CPPUNIT_TEST(EmptyLineAfterARequestLeavesTheConnectionIdle);
   CPPUNIT_TEST(AbortedResponseIsNotComplete);
   CPPUNIT_TEST(CloseAfterResponseSendsWholeResponse);
   CPPUNIT_TEST_SUITE_END();
@@ -364,6 +365,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections_.Count());
   }
 
+  // Some callers end a request body with an empty line. Guards against taking it for the begin of a
+  // request, which gets a 408 after the header timeout and delays a stop until then.
+  void EmptyLineAfterARequestLeavesTheConnectionIdle() {
+    Loop loop;
+    EchoServer server;
+    ClientConnection connection(server.GetAddress(), {});
+    ExchangeRecorder recorder;
+    connection.SendRequest(std::string(kGet) + "\r\n", false, recorder);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
+    loop.RunFor(std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.connections_.CountByState().reading_);
+    server.connections_.CheckTimeouts(Now() + std::chrono::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(0, server.rejected_status_);
+  }
+
   // Guards against a streamed response that looks complete although the target aborted it.
   void AbortedResponseIsNotComplete() {
     Loop loop;
