http: give a new connection time for its first request before it is closed as idle

Callers that had just connected to a stopping host saw their connection closed without a response: every 50 ms the host closed the connections without a request, also those whose first request was on its way.

Change: a connection without a request so far is closed as idle only after one second. FirstRequestOfANewConnectionIsProcessedDuringAStop failed before (status 0) and passes now.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -16,6 +16,8 @@
 // After a graceful close, the socket stays open for this time so that the caller can read the
 // response.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// A new connection is not closed as idle within this time, because its first request is on its way.
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
 // Detects callers whose machine disappeared without closing the connection.
 constexpr StreamOptions kCallerStreamOptions = {.keep_alive_idle_ = std::chrono::seconds(10),
                                                 .user_timeout_ = std::chrono::seconds(10)};
@@ -85,6 +87,7 @@
   owner_.buffered_bytes_ -= request.body_.size();
   parser_.reset();
   state_ = State::kBusy;
+  had_request_ = true;
   state_entered_at_ = Now();
   keep_alive_ = request.head_.keep_alive_;
   is_head_ = request.head_.method_ == "HEAD";
@@ -178,6 +181,7 @@
 
 bool ServerConnection::CloseIfIdle() {
   if (state_ != State::kIdle) return false;
+  if (!had_request_ && Now() - state_entered_at_ < kFirstRequestTime) return false;
   // A timer can run before the socket is read. A request that has arrived must not be discarded.
   const auto self = shared_from_this();
   stream_->ReceiveNow();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -84,8 +84,8 @@
   // Returns whether the last response is complete and the connection waits for the peer to close.
   bool IsClosing() const { return state_ == State::kClosing; }
 
-  // Closes the connection if no byte of a next request has been read. Returns whether it was
-  // closed.
+  // Closes the connection if no byte of a next request has been received. A new connection has some
+  // time for its first request. Returns whether it was closed.
   bool CloseIfIdle();
   // Closes the connection, or rejects the current request with status 408, if a timeout has passed.
   void CheckTimeouts(Time now);
@@ -108,6 +108,7 @@
   std::unique_ptr<Stream> stream_;
   std::unique_ptr<RequestParser> parser_;
   State state_ = State::kIdle;
+  bool had_request_ = false;
   Time state_entered_at_{};
   Time last_byte_at_{};
   Time request_started_at_{};
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(ServerRejectsSlowHeaders);
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
+  CPPUNIT_TEST(FirstRequestOfANewConnectionIsProcessedDuringAStop);
   CPPUNIT_TEST(IdleCloseLingersLikeAnyOther);
   CPPUNIT_TEST(EmptyLineAfterARequestLeavesTheConnectionIdle);
   CPPUNIT_TEST(AbortedResponseIsNotComplete);
@@ -351,6 +352,20 @@
     }
   }
 
+  // Guards against closing a connection as idle before its first request has arrived.
+  void FirstRequestOfANewConnectionIsProcessedDuringAStop() {
+    Loop loop;
+    EchoServer server;
+    ClientConnection connection(server.GetAddress(), {});
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.connections_.Count() == 1; }));
+    server.connections_.CloseIdle();
+    loop.RunFor(std::chrono::milliseconds(50));
+    ExchangeRecorder recorder;
+    connection.SendRequest(kGet, false, recorder);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
+    CPPUNIT_ASSERT_EQUAL(200, recorder.status_);
+  }
+
   // Guards against a reset instead of an orderly close for a request that crosses the idle close.
   void IdleCloseLingersLikeAnyOther() {
     Loop loop;
