gateway: a reload does not shorten a stop that has begun

A reload with a lower stop time during a stop ended its calls early: with 3 s at the signal and 0.5 s one moment later, the call in flight got 504 at once. Change: the stop time of the signal holds for the whole stop; with a short stop time the margin for connections is a twelfth of it, so that responses have time also then. ReloadDuringAStopDoesNotShortenIt failed before and passes now.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -45,15 +45,23 @@
 // Connections are waited for until this time before the end of the stop time, so that the process
 // ends in time even on a slow host.
 constexpr Duration kConnectionStopMargin = std::chrono::milliseconds(300);
+// Upper limit of this margin as a share of the stop time, so that responses have time also if the
+// stop time is short.
+constexpr double kMaxConnectionMarginShare = 1.0 / 12;
+// Maximum number of entry hosts that are notified about a failed target.
+constexpr std::size_t kMaxFailureRecipients = 16;
+// Request bodies may use the memory limit divided by this number.
+constexpr int kBodyMemoryShare = 4;
 
 Duration CallStopTime(Duration stop_time) {
   return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
                   stop_time - kCallStopMargin);
 }
-// Maximum number of entry hosts that are notified about a failed target.
-constexpr std::size_t kMaxFailureRecipients = 16;
-// Request bodies may use the memory limit divided by this number.
-constexpr int kBodyMemoryShare = 4;
+
+Duration ConnectionStopTime(Duration stop_time) {
+  return stop_time - std::min(kConnectionStopMargin, std::chrono::duration_cast<Duration>(
+                                                         stop_time * kMaxConnectionMarginShare));
+}
 
 // Fields of a log line.
 KeyValues FormatCounts(const http::ConnectionCounts& counts) {
@@ -197,12 +205,12 @@
       case LifecycleState::kServing:
         break;
       case LifecycleState::kLeaving:
-        stop_started_ = now;
+        BeginStop(now);
         caller_connections_.SetCloseAfterResponse(true);
         Broadcast(PeerMessageType::kLeaving, {});
         break;
       case LifecycleState::kDraining:
-        if (stop_started_ == Time{}) stop_started_ = now;
+        if (stop_started_ == Time{}) BeginStop(now);
         state_.stopping_ = true;
         caller_connections_.SetCloseAfterResponse(true);
         caller_connections_.CloseIdle();
@@ -210,7 +218,6 @@
       case LifecycleState::kClosing:
         state_.stopping_ = true;
         caller_connections_.SetCloseAfterResponse(true);
-        if (stop_started_ == Time{}) stop_started_ = now;
         EndCalls(now);
         break;
       case LifecycleState::kStopped:
@@ -221,6 +228,11 @@
     }
   }
 
+  void BeginStop(Time now) {
+    stop_started_ = now;
+    stop_time_ = settings_.bounds_.stop_time_;
+  }
+
   // Ends the calls that are left when the time allowed for them has ended.
   void EndCalls(Time now) {
     if (calls_.empty()) return;
@@ -268,10 +280,9 @@
   void AdvanceStop(Time now) {
     if (stop_started_ == Time{}) return;
     const Duration elapsed = now - stop_started_;
-    const Duration stop_time = settings_.bounds_.stop_time_;
-    if (elapsed >= CallStopTime(stop_time)) {
+    if (elapsed >= CallStopTime(stop_time_)) {
       HandleLifecycleEvent(LifecycleEvent::kForced);
-    } else if (elapsed >= std::chrono::duration_cast<Duration>(stop_time * kLeavingPhaseShare)) {
+    } else if (elapsed >= std::chrono::duration_cast<Duration>(stop_time_ * kLeavingPhaseShare)) {
       HandleLifecycleEvent(LifecycleEvent::kKeepTimeEnded);
     }
     if (lifecycle_state_ == LifecycleState::kDraining) {
@@ -279,7 +290,7 @@
       if (calls_.empty()) HandleLifecycleEvent(LifecycleEvent::kDrained);
     }
     if (lifecycle_state_ == LifecycleState::kClosing &&
-        (CloseConnections() || elapsed >= stop_time - kConnectionStopMargin)) {
+        (CloseConnections() || elapsed >= ConnectionStopTime(stop_time_))) {
       HandleLifecycleEvent(LifecycleEvent::kClosed);
     }
   }
@@ -481,6 +492,8 @@
   lifecycle::LifecycleMachine machine_;
   LifecycleState lifecycle_state_ = LifecycleState::kStarting;
   Time stop_started_{};
+  // Of the settings at the stop signal: a reload must not shorten a stop that has begun.
+  Duration stop_time_{};
   std::map<Call*, CallPtr> calls_;
   std::map<http::ServerConnection*, Call*> calls_by_connection_;
   std::vector<CallPtr> finished_calls_;
--- a/src/gateway/tests/stop_test.cc
+++ b/src/gateway/tests/stop_test.cc
@@ -24,7 +24,7 @@
 using tests::GatewayHost;
 using Behaviour = FakeTarget::Behaviour;
 
-// The host serves for 0.45 of this time. It forces the end in the last sixth.
+// The host serves for 0.45 of this time. It ends the calls that are left in the last sixth.
 constexpr Duration kStopTime = std::chrono::seconds(3);
 constexpr Duration kServingPhase = milliseconds(1350);
 // Times after the stop signal at which the host still serves, and at which it no longer does.
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(StoppedHostRefusesConnections);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsRejected);
   CPPUNIT_TEST(SecondStopSignalDoesNotCutRequests);
+  CPPUNIT_TEST(ReloadDuringAStopDoesNotShortenIt);
   CPPUNIT_TEST(RequestAfterTheServingPhaseIsRejected);
   CPPUNIT_TEST(ForcedEndRespondsToRequestsInFlight);
   CPPUNIT_TEST(PartlyReadQueryIsAnsweredBeforeTheEnd);
@@ -201,6 +202,20 @@
     CPPUNIT_ASSERT_EQUAL(200, caller_->status_);
   }
 
+  // Guards against cutting calls when a reload lowers the stop time of a stop that has begun.
+  void ReloadDuringAStopDoesNotShortenIt() {
+    HoldRequest();
+    host_->gateway_->Stop();
+    GatewaySettings settings = host_->settings_;
+    settings.bounds_.stop_time_ = milliseconds(500);
+    host_->gateway_->Reload(settings);
+    RunUntilStopped(milliseconds(1000));
+    CPPUNIT_ASSERT(host_->gateway_ != nullptr && !caller_->IsOver());
+    target_->RespondToHeld(target_->held_.begin()->first);
+    RunUntilStopped(kStopTime, [this] { return caller_->IsOver(); });
+    CPPUNIT_ASSERT_EQUAL(200, caller_->status_);
+  }
+
   // Guards against accepting requests until the next timer: they might not finish in time.
   void RequestAfterTheServingPhaseIsRejected() {
     host_->gateway_->Stop();
