http: parse pipelined requests in a loop

A caller could crash the process, and with it the responses of all other callers: each pipelined request that was answered within OnRequest was parsed within the response to the one before, so that some ten thousand small requests in one read exhausted the stack.

Change: requests are parsed in a loop; a response leaves the next request to it. PipelinedRequestsDoNotExhaustTheStack ended with a segmentation fault before and passes now.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -45,7 +45,18 @@
   }
 }
 
+// A request may be answered within OnRequest. The next one is then parsed by this loop and not by
+// FinishResponse, so that pipelined requests do not exhaust the stack.
 void ServerConnection::ParseInput() {
+  if (parsing_) return;
+  const auto self = shared_from_this();
+  parsing_ = true;
+  bool is_next = true;
+  while (is_next) is_next = ParseRequest() && state_ == State::kReading;
+  parsing_ = false;
+}
+
+bool ServerConnection::ParseRequest() {
   const auto self = shared_from_this();
   std::string& input = stream_->InputBuffer();
   if (parser_ == nullptr) {
@@ -54,7 +65,7 @@
     input.erase(0, std::min(begin, input.size()));
     if (input.empty()) {
       state_ = State::kIdle;
-      return;
+      return false;
     }
     parser_ = std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
                                               owner_.limits_.max_body_bytes_);
@@ -67,22 +78,27 @@
     case ParseError::kNone:
       break;
     case ParseError::kHeaderTooLarge:
-      return Reject(431, "header is too large");
+      Reject(431, "header is too large");
+      return false;
     case ParseError::kBodyTooLarge:
-      return Reject(413, "body is too large");
+      Reject(413, "body is too large");
+      return false;
     case ParseError::kMalformed:
-      return Reject(400, "request is malformed");
+      Reject(400, "request is malformed");
+      return false;
   }
   if (parser_->HasHead() && !parser_->IsDone()) {
-    if (owner_.buffered_bytes_ > owner_.max_buffered_bytes_)
-      return Reject(503, "request bodies fill memory");
+    if (owner_.buffered_bytes_ > owner_.max_buffered_bytes_) {
+      Reject(503, "request bodies fill memory");
+      return false;
+    }
     if (parser_->Head().expects_continue_ && !continue_sent_) {
       continue_sent_ = true;
       stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    return;
+    return false;
   }
-  if (!parser_->IsDone()) return;
+  if (!parser_->IsDone()) return false;
   Request request{std::move(parser_->Head()), std::move(parser_->Body()), request_started_at_};
   owner_.buffered_bytes_ -= request.body_.size();
   parser_.reset();
@@ -92,6 +108,7 @@
   keep_alive_ = request.head_.keep_alive_;
   is_head_ = request.head_.method_ == "HEAD";
   owner_.handler_.OnRequest(self, std::move(request));
+  return true;
 }
 
 void ServerConnection::Reject(int status, std::string_view reason) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -99,6 +99,8 @@
   void OnClosed(Failure failure) override;
 
   void ParseInput();
+  // Returns whether a complete request was processed, so that another one may follow.
+  bool ParseRequest();
   void Reject(int status, std::string_view reason);
   void FinishResponse(bool close);
   void CloseGracefully();
@@ -109,6 +111,7 @@
   std::unique_ptr<RequestParser> parser_;
   State state_ = State::kIdle;
   bool had_request_ = false;
+  bool parsing_ = false;
   Time state_entered_at_{};
   Time last_byte_at_{};
   Time request_started_at_{};
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -73,6 +73,16 @@
   bool hold_requests_ = false;
 };
 
+// Sends bytes and drops what it receives.
+struct RawClient : IStreamHandler {
+  explicit RawClient(const Address& address) : stream_(Stream::Connect(address, *this, {})) {}
+  void OnConnected() override {}
+  void OnDataReceived() override { stream_->InputBuffer().clear(); }
+  void OnOutputFlushed() override {}
+  void OnClosed(Failure /*failure*/) override {}
+  std::unique_ptr<Stream> stream_;
+};
+
 constexpr const char* kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 }  // namespace
@@ -95,6 +105,7 @@
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
   CPPUNIT_TEST(FirstRequestOfANewConnectionIsProcessedDuringAStop);
   CPPUNIT_TEST(IdleCloseLingersLikeAnyOther);
+  CPPUNIT_TEST(PipelinedRequestsDoNotExhaustTheStack);
   CPPUNIT_TEST(EmptyLineAfterARequestLeavesTheConnectionIdle);
   CPPUNIT_TEST(AbortedResponseIsNotComplete);
   CPPUNIT_TEST(CloseAfterResponseSendsWholeResponse);
@@ -366,6 +377,18 @@
     CPPUNIT_ASSERT_EQUAL(200, recorder.status_);
   }
 
+  // Each request is answered within OnRequest. Guards against processing the next one within that.
+  void PipelinedRequestsDoNotExhaustTheStack() {
+    constexpr int kRequests = 60'000;
+    Loop loop;
+    EchoServer server;
+    RawClient client(server.GetAddress());
+    std::string requests;
+    for (int i = 0; i < kRequests; ++i) requests += "GET / HTTP/1.1\r\n\r\n";
+    client.stream_->Write(requests);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.request_count_ == kRequests; }));
+  }
+
   // Guards against a reset instead of an orderly close for a request that crosses the idle close.
   void IdleCloseLingersLikeAnyOther() {
     Loop loop;
