--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -385,23 +385,25 @@
     GatewaySettings reader_settings = settings_;
     reader_settings.name_ = "reader";
     reader_settings.capacity_ = 10;
-    auto started = StartOnFreePorts(reader_settings, reader_store);
-    CPPUNIT_ASSERT(started);
-    const std::unique_ptr<Gateway> reader_gateway = std::move(started.value());
-    const HostRecord reader = {"reader",
-                               "z",
-                               reader_settings.front_address_,
-                               reader_settings.peer_address_,
-                               reader_settings.control_address_,
-                               1,
-                               10};
-    for (MockRecordStore* store : {store_.get(), &reader_store}) {
-      store->Put(RecordKind::kHost, {"reader", 0, reader, {}, {}});
-    }
-    reader_store.Put(RecordKind::kConfiguration, {"main", 0, MakeConfiguration(3), {}, {}});
-    for (const auto& target : targets_) {
-      reader_store.Put(RecordKind::kTarget, {target->name_, 0, target->MakeRecord("s"), {}, {}});
-    }
+    // The reader's addresses are in its record, which both stores have before it starts.
+    const std::unique_ptr<Gateway> reader_gateway =
+        StartOnFreePorts(reader_settings, reader_store, [&] {
+          const HostRecord reader = {"reader",
+                                     "z",
+                                     reader_settings.front_address_,
+                                     reader_settings.peer_address_,
+                                     reader_settings.control_address_,
+                                     1,
+                                     10};
+          for (MockRecordStore* store : {store_.get(), &reader_store}) {
+            store->Put(RecordKind::kHost, {"reader", 0, reader, {}, {}});
+          }
+          reader_store.Put(RecordKind::kConfiguration, {"main", 0, MakeConfiguration(3), {}, {}});
+          for (const auto& target : targets_) {
+            const TargetRecord record = target->MakeRecord("s");
+            reader_store.Put(RecordKind::kTarget, {target->name_, 0, record, {}, {}});
+          }
+        });
     StartServing();
     // This change exists only in the reader's store, so the host must get it from the reader.
     Configuration early = MakeConfiguration(4);
@@ -491,10 +493,11 @@
     return configuration;
   }
 
-  // Starts a gateway on free ports, which are put into `settings`. Another program can take a port
-  // between the search and the start; the start is then repeated with other ports.
-  Result<std::unique_ptr<Gateway>> StartOnFreePorts(GatewaySettings& settings,
-                                                    MockRecordStore& store) {
+  // Starts a gateway on free ports, which are put into `settings`; calls `prepare` before the
+  // start. Another program can take a port in between; the start is then repeated with other ports.
+  template <typename Prepare>
+  std::unique_ptr<Gateway> StartOnFreePorts(GatewaySettings& settings, MockRecordStore& store,
+                                            Prepare prepare) {
     constexpr int kMaxStarts = 5;
     for (int i = 1;; ++i) {
       for (std::string* address :
@@ -502,15 +505,18 @@
             &settings.control_address_, &settings.peer_address_}) {
         *address = FreeAddress();
       }
-      auto started = StartGateway(settings, format_, record_format_, store, 1, 42);
-      if (started || i == kMaxStarts) return started;
+      prepare();
+      auto started = Capture<std::unique_ptr<Gateway>>(
+          [&] { return StartGateway(settings, format_, record_format_, store, 1, 42); });
+      if (started.value_) return std::move(*started.value_);
+      const bool is_port_taken = started.error_.code_ == ResultCode::kListenFailed ||
+                                 started.error_.code_ == ResultCode::kPeerSocket;
+      CPPUNIT_ASSERT_MESSAGE(started.error_.message_, is_port_taken && i < kMaxStarts);
     }
   }
 
   void StartGatewayHost() {
-    auto started = StartOnFreePorts(settings_, *store_);
-    CPPUNIT_ASSERT(started);
-    gateway_ = std::move(started.value());
+    gateway_ = StartOnFreePorts(settings_, *store_, [] {});
     client_ = std::make_unique<http::HttpClient>(*ParseAddress(settings_.front_address_),
                                                  http::StreamOptions{}, 8);
   }
