--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -38,6 +38,9 @@
             Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
         directory_queries_(
             Counter("monsoonshelf_gateway_directory_queries_total", "Directory answers", labels)),
+        content_overdue_(Counter("monsoonshelf_gateway_content_overdue_total",
+                                 "Times in which the content was older than a change may take",
+                                 labels)),
         total_(Histogram("monsoonshelf_gateway_request_seconds", "From request to answer", labels)),
         waiting_(
             Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
@@ -63,6 +66,7 @@
   CounterFamily& probes_;
   CounterFamily& store_calls_;
   CounterFamily& directory_queries_;
+  CounterFamily& content_overdue_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
   HistogramFamily& at_target_;
@@ -111,6 +115,8 @@
   families_->store_calls_.Add({{"kind", ToString(kind)}, {"status", ToString(status)}}).Increment();
 }
 
+void GatewayMetrics::CountContentOverdue() { families_->content_overdue_.Add({}).Increment(); }
+
 void GatewayMetrics::CountDirectoryQuery() { families_->directory_queries_.Add({}).Increment(); }
 
 void GatewayMetrics::SetGauge(std::string_view name, double value) {
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -47,12 +47,19 @@
 // Targets whose registrations expired while the store was unavailable register again within two
 // seconds of its return.
 constexpr Duration kRemovalGrace = std::chrono::milliseconds(2100);
+// A change may be in effect this long after its acknowledgement at the latest. Content that was
+// confirmed longer ago may lack a change that is overdue.
+constexpr Duration kMaxChangeDelay = std::chrono::seconds(2);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kRegistrationRetryInterval = std::chrono::milliseconds(700);
 // The second list follows soon: the first one misses hosts that started at the same time.
 constexpr Duration kSecondHostListInterval = std::chrono::seconds(4);
 constexpr Duration kHostListInterval = std::chrono::seconds(30);
 
+std::string FormatMilliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 std::string KindName(RecordKind kind) { return std::string(NameOf(kRecordKindNames, kind)); }
 
 }  // namespace
@@ -98,6 +105,7 @@
 
 void StoreSync::OnTick(const std::vector<ReaderCandidate>& peers, Time now) {
   replaced_peer_stores_.clear();
+  ReportContentAge(now);
   if (!is_registered_ && now >= next_registration_) RegisterHost();
   if (now >= next_host_list_) {
     next_host_list_ = now + (hosts_.empty() ? kSecondHostListInterval : kHostListInterval);
@@ -110,10 +118,10 @@
   // A process that starts while it cannot read the store tries the hosts listed in its settings.
   const auto& seeds = state_.settings_.seeds_;
   if (source.empty() && state_.configuration_ == nullptr && !reaches_store_ && !seeds.empty()) {
-    if (source_.empty()) UseSource(seeds[next_seed_++ % seeds.size()], now);
+    if (source_.empty()) UseSource(seeds[next_seed_++ % seeds.size()], "seed", now);
     return;
   }
-  if (source != source_) UseSource(source, now);
+  if (source != source_) UseSource(source, "ranking", now);
 }
 
 std::string StoreSync::BestSource(Time now) const {
@@ -126,14 +134,21 @@
                       usable);
 }
 
-void StoreSync::UseSource(const std::string& address, Time now) {
+void StoreSync::UseSource(const std::string& address, std::string_view cause, Time now) {
   const auto parsed = ParseAddress(address);
   if (!address.empty() && (!parsed || address == self_.control_address_)) return;
+  if (std::exchange(confirmed_at_last_change_, ConfirmedAt()) != ConfirmedAt()) {
+    unconfirmed_source_changes_ = 0;
+  }
+  ++unconfirmed_source_changes_;
   logging::LogEvent(logging::LogLevel::kInfo, "source_chosen",
                     {{"from", source_.empty() ? "store" : source_},
                      {"to", address.empty() ? "store" : address},
-                     {"confirmed_ms_ago",
-                      std::to_string((now - configuration_feed_.ConfirmedAt()).count() / 1000)}});
+                     {"cause", std::string(cause)},
+                     {"confirmed_ms_ago", FormatMilliseconds(now - ConfirmedAt())},
+                     {"changes_since", std::to_string(unconfirmed_source_changes_)},
+                     {"reaches_store", reaches_store_ ? "true" : "false"},
+                     {"own_call_ms_ago", SinceLastOwnCall(now)}});
   source_ = address;
   source_since_ = now;
   if (peer_store_ != nullptr) replaced_peer_stores_.push_back(std::move(peer_store_));
@@ -165,12 +180,36 @@
               [this](const StorePage& page) {
                 is_probe_pending_ = false;
                 state_.metrics_.CountStoreCall("probe", NameOf(kStoreStatusNames, page.status_));
+                OnOwnCallEnded(Now());
+                logging::LogEvent(
+                    logging::LogLevel::kInfo, "store_probed",
+                    {{"status", std::string(NameOf(kStoreStatusNames, page.status_))},
+                     {"confirmed_ms_ago", FormatMilliseconds(Now() - ConfirmedAt())}});
                 if (page.status_ != StoreStatus::kOk || reaches_store_) return;
                 reaches_store_ = true;
                 if (source_.empty()) ReadStore();
               });
 }
 
+std::string StoreSync::SinceLastOwnCall(Time now) const {
+  return last_own_call_ == Time{} ? "never" : FormatMilliseconds(now - last_own_call_);
+}
+
+void StoreSync::ReportContentAge(Time now) {
+  if (state_.configuration_ == nullptr) return;
+  const bool is_overdue = now - ConfirmedAt() > kMaxChangeDelay;
+  if (is_overdue == is_content_overdue_) return;
+  is_content_overdue_ = is_overdue;
+  logging::LogEvent(is_overdue ? logging::LogLevel::kWarning : logging::LogLevel::kInfo,
+                    is_overdue ? "content_overdue" : "content_confirmed",
+                    {{"source", source_.empty() ? "store" : source_},
+                     {"confirmed_ms_ago", FormatMilliseconds(now - ConfirmedAt())},
+                     {"source_changes", std::to_string(unconfirmed_source_changes_)},
+                     {"reaches_store", reaches_store_ ? "true" : "false"},
+                     {"own_call_ms_ago", SinceLastOwnCall(now)}});
+  if (is_overdue) state_.metrics_.CountContentOverdue();
+}
+
 void StoreSync::RestartTargetAndEvacuationFeeds() {
   target_feed_.Restart();
   evacuation_feed_.Restart();
@@ -270,12 +309,14 @@
   logging::LogEvent(logging::LogLevel::kInfo, "configuration_applied",
                     {{"version", std::to_string(configuration.version_)},
                      {"previous", std::to_string(present)},
-                     {"routes", std::to_string(configuration.routes_.size())}});
+                     {"routes", std::to_string(configuration.routes_.size())},
+                     {"source", source_.empty() ? "store" : source_}});
 }
 
 void StoreSync::OnStatus(RecordKind kind, StoreStatus status, Duration age) {
   const Time now = Now();
   if (source_.empty()) {
+    OnOwnCallEnded(now);
     state_.metrics_.CountStoreCall(KindName(kind), NameOf(kStoreStatusNames, status));
   }
   if (status == StoreStatus::kHistoryGone) {
@@ -308,7 +349,7 @@
     // it.
     avoided_sources_[source_] = now + kFailedSourceBackoff;
     read_store_until_ = now + kDirectReadTime;
-    return UseSource({}, now);
+    return UseSource({}, "source_failed", now);
   }
   reaches_store_ = false;
   next_probe_ = now;
@@ -333,7 +374,8 @@
     if (target->remove_at_ != Time::max()) target->remove_at_ = now + kRemovalGrace;
   }
   logging::LogEvent(logging::LogLevel::kInfo, "store_regained",
-                    {{"source", source_.empty() ? "store" : source_}});
+                    {{"source", source_.empty() ? "store" : source_},
+                     {"confirmed_ms_ago", FormatMilliseconds(now - ConfirmedAt())}});
   RestartTargetAndEvacuationFeeds();
 }
 
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/internal/gateway_state.h"
@@ -51,11 +52,18 @@
 
   // Returns the address of the host to read from, or an empty string for the store itself.
   std::string BestSource(Time now) const;
-  void UseSource(const std::string& address, Time now);
+  // `cause` is the reason for the log.
+  void UseSource(const std::string& address, std::string_view cause, Time now);
   void ReadStore();
   // Checks with an inexpensive call whether the store serves this host.
   void ProbeStore(Time now);
   void RestartTargetAndEvacuationFeeds();
+  // Logs when the content becomes older than a change may take to come into effect, and when it is
+  // confirmed again.
+  void ReportContentAge(Time now);
+  // Records a response, or a failure, of a call of this host to the store.
+  void OnOwnCallEnded(Time now) { last_own_call_ = now; }
+  std::string SinceLastOwnCall(Time now) const;
   void OnSourceFailed(StoreStatus status, Time now);
   void MarkStoreLost(StoreStatus status);
   void OnSourceConfirmed(Time now);
@@ -85,6 +93,11 @@
   std::vector<std::unique_ptr<PeerRecordStore>> replaced_peer_stores_;
   std::map<std::string, Time> avoided_sources_;  // By address, until this time.
   std::size_t next_seed_ = 0;
+  // Changes of the source since the content was last confirmed.
+  int unconfirmed_source_changes_ = 0;
+  Time confirmed_at_last_change_{};
+  bool is_content_overdue_ = false;
+  Time last_own_call_{};  // Zero before the first one ended.
   bool reaches_store_ = true;
   bool is_probe_pending_ = false;
   Time next_probe_{};
