--- a/tests/cppunit_main.cc
+++ b/tests/cppunit_main.cc
@@ -74,8 +74,10 @@
 
 }  // namespace
 
-// Runs all registered suites. Fails if no test ran, so that a program without tests is detected.
-int main() {
+// Runs all registered suites, or only the one that is named, for example
+// monsoonshelf::gateway::ZoneRecordsTest. Fails if no test ran, so that a program without tests is
+// detected.
+int main(int argc, char** argv) {
   // RapidCheck chooses a random seed by default; a fixed seed gives the same result in every run.
   setenv("RC_PARAMS", "seed=20241204", 0);
   CppUnit::TestResult result;
@@ -85,7 +87,7 @@
   result.addListener(&progress);
   CppUnit::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  runner.run(result);
+  runner.run(result, argc > 1 ? argv[1] : "");
   CppUnit::CompilerOutputter outputter(&collector, std::cerr);
   outputter.write();
   return OnlyKnownFailures(collector) && collector.runTests() > 0 ? 0 : 1;
