--- a/src/http/internal/http_client.cc
+++ b/src/http/internal/http_client.cc
@@ -108,6 +108,9 @@
     if (found == exchanges_.end()) continue;
     const auto exchange = found->second;
     if (exchange->connection_ != nullptr) exchange->connection_->Cancel();
+    // If a kept connection has fallen silent, the other ones may have too. The next call must not
+    // wait for each of them in turn.
+    pool_.CloseIdleConnections(FormatAddress(address_));
     FinishCall(id, {0, {}, {}, Failure::kNone, true});
   }
   pool_.CloseExpired(now);
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(ConnectionNeverResendsRequest);
   CPPUNIT_TEST(ClientRetriesOnlyIdempotentCalls);
   CPPUNIT_TEST(ClientCallTimesOut);
+  CPPUNIT_TEST(CallAfterATimeoutUsesANewConnection);
   CPPUNIT_TEST(ServerReportsCallerDisconnect);
   CPPUNIT_TEST(ServerRejectsSlowHeaders);
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
@@ -294,6 +295,41 @@
     CPPUNIT_ASSERT(loop.RunUntil([&] { return timed_out; }));
   }
 
+  // Guards against waiting for each kept connection in turn after all of them fell silent.
+  void CallAfterATimeoutUsesANewConnection() {
+    Loop loop;
+    RawPeer peer;
+    bool are_kept_connections_silent = false;
+    std::size_t kept_connections = 0;
+    peer.on_bytes_ = [&](RawPeer::Connection& connection) {
+      const bool is_kept = peer.connections_.front().get() == &connection ||
+                           peer.connections_[1].get() == &connection;
+      if (is_kept && are_kept_connections_silent) return;
+      if (peer.connections_.size() < 2) return;  // Both connections are needed at the same time.
+      for (const auto& item : peer.connections_) {
+        if (item->received_.empty()) continue;
+        item->received_.clear();
+        item->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      }
+    };
+    HttpClient client(peer.GetAddress(), {}, 4);
+    const auto count_response = [&kept_connections](const CallResult& result) {
+      if (result.status_ == 200) ++kept_connections;
+    };
+    client.Call(kGet, true, std::chrono::seconds(10), count_response);
+    client.Call(kGet, true, std::chrono::seconds(10), count_response);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return kept_connections == 2; }));
+    are_kept_connections_silent = true;
+    std::vector<int> statuses;
+    for (int i = 0; i < 2; ++i) {
+      client.Call(kGet, true, std::chrono::milliseconds(100),
+                  [&statuses](const CallResult& result) { statuses.push_back(result.status_); });
+      CPPUNIT_ASSERT(loop.RunUntil([&] { return statuses.size() == i + 1U; }));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, statuses[0]);
+    CPPUNIT_ASSERT_EQUAL(200, statuses[1]);
+  }
+
   // Guards against processing requests of callers that have disconnected.
   void ServerReportsCallerDisconnect() {
     Loop loop;
