gateway: bound the age of the content over all sources

Cause: the time in which a change takes effect was bounded for each source by itself. A follower gave each new reader its own grace period, chose it by a flag of its last call, which may be minutes old, and never read the store itself while pings changed its source. A host whose last call had failed waited for a probe of its own interval, and one silent reader used up 1.63 s, so that a lost connection to the store had no room.

Change: each host bounds the age of its own content, however many sources it tried. At 1.2 s it probes the store, also if its last call failed; after 0.3 s without a response it probes again; when the store responds it reads the store itself. Only then does the followed reader count as failed. A follower whose reader dies asks the next one first, because the bound holds in any case.

--- a/src/gateway/internal/reader_choice.cc
+++ b/src/gateway/internal/reader_choice.cc
@@ -12,10 +12,6 @@
 
 namespace {
 
-// Covers one confirmation interval and the delay of a slow store. A change must take effect within
-// two seconds of its acknowledgement, even if the reader lost the store just before: this age, one
-// poll by the follower and one list by the next reader together stay within that limit.
-constexpr Duration kMaxReaderContentAge = std::chrono::milliseconds(1300);
 // Time that a newly chosen reader has to reach the store.
 constexpr Duration kReaderGracePeriod = std::chrono::milliseconds(1000);
 
@@ -26,7 +22,7 @@
 }  // namespace
 
 bool HasReaderLostStore(Duration content_age, Duration followed_for) {
-  return content_age > kMaxReaderContentAge && followed_for > kReaderGracePeriod;
+  return content_age > kMaxContentAge && followed_for > kReaderGracePeriod;
 }
 
 std::string ChooseSource(const ReaderCandidate& self, const std::vector<ReaderCandidate>& peers) {
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -175,7 +175,8 @@
 }
 
 void RecordServer::SendBody(const http::ServerConnectionPtr& connection, const std::string& body) {
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(content_age_()).count();
+  // Rounded up, so that content that hosts pass on does not become younger.
+  const auto age = std::chrono::ceil<std::chrono::milliseconds>(content_age_()).count();
   connection->Respond(200,
                       {{"Content-Type", "application/octet-stream"},
                        {std::string(kAgeHeader), std::to_string(age)}},
@@ -194,6 +195,17 @@
   }
 }
 
+void RecordServer::OnContentConfirmed(RecordKind kind) {
+  std::list<WaitingRequest> due;
+  for (auto item = waiting_.begin(); item != waiting_.end();) {
+    const auto next = std::next(item);
+    if (item->kind_ == kind) due.splice(due.end(), waiting_, item);
+    item = next;
+  }
+  for (const WaitingRequest& item : due)
+    RespondWithEvents(item.connection_, item.kind_, item.after_);
+}
+
 void RecordServer::OnRecordsChanged(RecordKind kind) {
   std::list<WaitingRequest> due;
   for (auto item = waiting_.begin(); item != waiting_.end();) {
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -31,6 +31,9 @@
   void OnCallerDisconnected(const http::ServerConnectionPtr& connection);
   // Responds to the requests that wait for changes of the kind.
   void OnRecordsChanged(RecordKind kind);
+  // Responds to the requests that wait for changes of the kind, so that their hosts learn that the
+  // store has confirmed the content.
+  void OnContentConfirmed(RecordKind kind);
   // Responds to all requests that wait for changes.
   void EndWaits();
 
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -25,6 +25,7 @@
   store_ = &store;
   settings_ = settings;
   history_gone_ = false;
+  is_next_watch_short_ = is_next_watch_short_ || settings.confirms_at_once_;
   Restart();
 }
 
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -17,20 +17,23 @@
     .watch_wait_ = kConfirmationWait,
     .watch_timeout_margin_ = std::chrono::milliseconds(600),
     .watch_pause_ = kConfirmationPause,
+    .confirms_at_once_ = true,
     .min_retry_delay_ = std::chrono::milliseconds(50)};
 // The wait bounds how long a watch can hang on a dead connection.
 constexpr FeedSettings kStoreFeed = {.watch_wait_ = std::chrono::seconds(8)};
-// Calls to another entry host are not billed, so shorter waits can detect its failure sooner.
+// A reader responds to its followers after each confirmation, so a wait ends by itself only if the
+// reader has lost the store.
 constexpr FeedSettings kPeerConfigurationFeed = {
     .list_timeout_ = std::chrono::milliseconds(500),
-    .watch_wait_ = std::chrono::milliseconds(400),
-    .watch_timeout_margin_ = std::chrono::milliseconds(400),
-    .watch_pause_ = std::chrono::milliseconds(5)};
+    .watch_wait_ = kMaxContentAge,
+    .watch_timeout_margin_ = std::chrono::milliseconds(300),
+    .watch_pause_ = std::chrono::milliseconds(5),
+    .confirms_at_once_ = true};
 constexpr FeedSettings kPeerFeed = {.list_timeout_ = std::chrono::milliseconds(500),
                                     .watch_wait_ = std::chrono::seconds(8),
                                     .watch_pause_ = std::chrono::milliseconds(5)};
 // Hosts of a zone discover each other within half a second after their start. This pause and one
-// confirmation must end before the content of a reader counts as too old (HasReaderLostStore).
+// confirmation must end before the content counts as too old (kMaxContentAge).
 constexpr Duration kFirstWatchPause = std::chrono::milliseconds(600);
 // If the store confirmed the content longer ago than this, the store counts as lost. Registrations
 // of targets cannot expire during a shorter outage.
@@ -44,6 +47,13 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(700);
 constexpr Duration kProbeIntervalFollowing = std::chrono::seconds(4);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(600);
+// Timeout of the first probe, and interval between it and the second one: a lost connection must
+// not use up the time in which a change has to take effect.
+constexpr Duration kFirstProbeTimeout = std::chrono::milliseconds(300);
+constexpr Duration kMinContentCheckInterval = std::chrono::milliseconds(50);
+// Confirmations that follow each other faster are passed on together. Also ends the exchange
+// between two hosts that follow each other for a moment.
+constexpr Duration kMinConfirmationInterval = std::chrono::milliseconds(100);
 // Targets whose registrations expired while the store was unavailable register again within two
 // seconds of its return.
 constexpr Duration kRemovalGrace = std::chrono::milliseconds(2100);
@@ -75,7 +85,8 @@
       server_(caches_, [this] { return Now() - configuration_feed_.ConfirmedAt(); }),
       configuration_feed_(RecordKind::kConfiguration, MakeFeedHandler(RecordKind::kConfiguration)),
       target_feed_(RecordKind::kTarget, MakeFeedHandler(RecordKind::kTarget)),
-      evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)) {}
+      evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)),
+      content_age_timer_(g_main_context_get_thread_default(), [this] { CheckContentAge(Now()); }) {}
 
 RecordFeed::Handler StoreSync::MakeFeedHandler(RecordKind kind) {
   return {[this, kind](const std::vector<StoredRecord>& records, Revision revision) {
@@ -89,6 +100,7 @@
 
 void StoreSync::Start() {
   const Time now = Now();
+  started_at_ = now;
   // At the first start of the fleet no host is registered, so this host registers at once. Later it
   // usually is registered, and the list of hosts shows whether that record is current.
   next_registration_ = state_.settings_.is_bootstrap_ ? now : Time::max();
@@ -111,8 +123,9 @@
     next_host_list_ = now + (hosts_.empty() ? kSecondHostListInterval : kHostListInterval);
     ListHosts({});
   }
-  if (!reaches_store_ && !is_probe_pending_ && now >= next_probe_) ProbeStore(now);
+  if (!reaches_store_ && !is_probe_pending_ && now >= NextProbeTime(now)) ProbeStore(now);
   peers_ = peers;
+  CheckContentAge(now);
   if (now < read_store_until_) return;
   const std::string source = BestSource(now);
   // A process that starts while it cannot read the store tries the hosts listed in its settings.
@@ -175,22 +188,76 @@
 
 void StoreSync::ProbeStore(Time now) {
   is_probe_pending_ = true;
-  next_probe_ = now + (source_.empty() ? kProbeInterval : kProbeIntervalFollowing);
-  store_.List(RecordKind::kEvacuation, {}, Consistency::kStale, kProbeTimeout,
+  last_probe_ = now;
+  store_.List(RecordKind::kEvacuation, {}, Consistency::kStale,
+              failed_probes_ == 0 ? kFirstProbeTimeout : kProbeTimeout,
               [this](const StorePage& page) {
                 is_probe_pending_ = false;
-                state_.metrics_.CountStoreCall("probe", NameOf(kStoreStatusNames, page.status_));
-                OnOwnCallEnded(Now());
-                logging::LogEvent(
-                    logging::LogLevel::kInfo, "store_probed",
-                    {{"status", std::string(NameOf(kStoreStatusNames, page.status_))},
-                     {"confirmed_ms_ago", FormatMilliseconds(Now() - ConfirmedAt())}});
-                if (page.status_ != StoreStatus::kOk || reaches_store_) return;
-                reaches_store_ = true;
-                if (source_.empty()) ReadStore();
+                OnProbeEnded(page.status_, Now());
               });
 }
 
+Time StoreSync::NextProbeTime(Time now) const {
+  if (last_probe_ == Time{}) return now;
+  const bool is_urgent = source_.empty() || ContentAge(now) > kMaxContentAge;
+  if (!is_urgent) return last_probe_ + kProbeIntervalFollowing;
+  return last_probe_ + (failed_probes_ == 1 ? kFirstProbeTimeout : kProbeInterval);
+}
+
+void StoreSync::OnProbeEnded(StoreStatus status, Time now) {
+  OnOwnCallEnded(now);
+  state_.metrics_.CountStoreCall("probe", NameOf(kStoreStatusNames, status));
+  logging::LogEvent(logging::LogLevel::kInfo, "store_probed",
+                    {{"status", std::string(NameOf(kStoreStatusNames, status))},
+                     {"source", source_.empty() ? "store" : source_},
+                     {"confirmed_ms_ago", FormatMilliseconds(now - ConfirmedAt())}});
+  const bool is_content_old = ContentAge(now) > kMaxContentAge;
+  if (status != StoreStatus::kOk) {
+    ++failed_probes_;
+    // A read that is in progress ends by its own timeout.
+    if (source_.empty()) return;
+    reaches_store_ = false;
+    if (HasReaderLostStore(ContentAge(now), now - source_since_)) LeaveReader("content_age", now);
+    return;
+  }
+  const bool was_rejected = !std::exchange(reaches_store_, true);
+  // While the store rejected this host, the age of a reader's content said nothing about the
+  // reader.
+  if (std::exchange(failed_probes_, 0) > 0) avoided_sources_.clear();
+  if (source_.empty()) {
+    // A pending watch may wait on a dead connection.
+    if (was_rejected || is_content_old) ReadStore();
+  } else if (is_content_old) {
+    LeaveReader("content_age", now);
+  }
+}
+
+Duration StoreSync::ContentAge(Time now) const {
+  return now - std::max(ConfirmedAt(), started_at_ + kFirstWatchPause);
+}
+
+void StoreSync::CheckContentAge(Time now) {
+  // Before the first configuration, the feeds and the seeds decide what is read.
+  if (state_.configuration_ == nullptr) return;
+  if (ContentAge(now) <= kMaxContentAge) {
+    // The next check happens right after the age is exceeded.
+    return content_age_timer_.Set(now - ContentAge(now) + kMaxContentAge +
+                                  std::chrono::milliseconds(1));
+  }
+  if (!is_probe_pending_ && now >= NextProbeTime(now)) ProbeStore(now);
+  content_age_timer_.Set(std::max(NextProbeTime(now), now + kMinContentCheckInterval));
+}
+
+void StoreSync::LeaveReader(std::string_view cause, Time now) {
+  avoided_sources_[source_] = now + kFailedSourceBackoff;
+  if (reaches_store_) {
+    // Which of the other hosts reach the store is known again after this time.
+    read_store_until_ = now + kDirectReadTime;
+    return UseSource({}, cause, now);
+  }
+  UseSource(BestSource(now), cause, now);
+}
+
 std::string StoreSync::SinceLastOwnCall(Time now) const {
   return last_own_call_ == Time{} ? "never" : FormatMilliseconds(now - last_own_call_);
 }
@@ -331,12 +398,14 @@
                        {"status", std::string(NameOf(kStoreStatusNames, status))}});
     return OnSourceFailed(status, now);
   }
-  if (kind != RecordKind::kConfiguration) return;
-  if (!source_.empty() && HasReaderLostStore(age, now - source_since_)) {
-    return OnSourceFailed(StoreStatus::kUnreachable, now);
+  if (source_.empty()) {
+    reaches_store_ = true;
+    failed_probes_ = 0;
   }
-  if (age > kMaxConfirmationAge) {
-    MarkStoreLost(status);
+  if (kind != RecordKind::kConfiguration) return;
+  CheckContentAge(now);
+  if (ContentAge(now) > kMaxConfirmationAge) {
+    MarkStoreLost(StoreStatus::kUnreachable);
   } else {
     OnSourceConfirmed(now);
   }
@@ -344,15 +413,11 @@
 
 void StoreSync::OnSourceFailed(StoreStatus status, Time now) {
   if (!source_.empty()) {
-    // The next reader may have lost the store too, and trying the readers one after another takes
-    // too long. So each follower reads the store itself until it is known again which hosts reach
-    // it.
     avoided_sources_[source_] = now + kFailedSourceBackoff;
-    read_store_until_ = now + kDirectReadTime;
-    return UseSource({}, "source_failed", now);
+    return UseSource(BestSource(now), "source_failed", now);
   }
   reaches_store_ = false;
-  next_probe_ = now;
+  read_store_until_ = {};
   MarkStoreLost(status);
   ReadStore();
 }
@@ -366,7 +431,10 @@
 }
 
 void StoreSync::OnSourceConfirmed(Time now) {
-  if (source_.empty()) reaches_store_ = true;
+  if (now - last_passed_on_ >= kMinConfirmationInterval && ConfirmedAt() > last_passed_on_) {
+    last_passed_on_ = now;
+    server_.OnContentConfirmed(RecordKind::kConfiguration);
+  }
   if (!is_lost_) return;
   is_lost_ = false;
   regained_at_ = now;
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "eventloop/timer.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/record_exchange.h"
 #include "gateway/reader_choice.h"
@@ -57,6 +58,13 @@
   void ReadStore();
   // Checks with an inexpensive call whether the store serves this host.
   void ProbeStore(Time now);
+  void OnProbeEnded(StoreStatus status, Time now);
+  Time NextProbeTime(Time now) const;
+  // Reads the store itself for some time, or tries the next reader, if the content is too old.
+  void CheckContentAge(Time now);
+  // Age of the content. A host that has just started is given time to find its reader.
+  Duration ContentAge(Time now) const;
+  void LeaveReader(std::string_view cause, Time now);
   void RestartTargetAndEvacuationFeeds();
   // Logs when the content becomes older than a change may take to come into effect, and when it is
   // confirmed again.
@@ -100,7 +108,11 @@
   Time last_own_call_{};  // Zero before the first one ended.
   bool reaches_store_ = true;
   bool is_probe_pending_ = false;
-  Time next_probe_{};
+  Time last_probe_{};      // When the last probe was sent.
+  int failed_probes_ = 0;  // Since the last successful call of this host.
+  eventloop::Timer content_age_timer_;
+  Time started_at_{};
+  Time last_passed_on_{};    // Confirmation that the waiting followers were told last.
   Time read_store_until_{};  // Until then this host reads the store itself, without a reader.
   bool is_lost_ = false;     // No source confirms the content.
   Time regained_at_{};
--- a/src/gateway/reader_choice.h
+++ b/src/gateway/reader_choice.h
@@ -29,9 +29,15 @@
 // result is empty.
 std::string ChooseSource(const ReaderCandidate& self, const std::vector<ReaderCandidate>& peers);
 
-// Returns whether the followed reader no longer reaches the store. `content_age` is the time since
-// the store confirmed its content. `followed_for` is the time since the reader was chosen: a new
-// reader first gets some time to reach the store itself.
+// Content that the store confirmed longer ago than this may lack a change that must soon be in
+// effect, so the host has to read the store itself. The age counts from the confirmation, however
+// many sources were tried since then. Covers one confirmation interval and the delay of a slow
+// store. The rest of the two seconds in which a change must take effect is for a probe, its
+// repetition if it gets no response, and a read.
+inline constexpr Duration kMaxContentAge = std::chrono::milliseconds(1200);
+
+// Returns whether a host that the store rejects should try another reader. `followed_for` is the
+// time since the present one was chosen: a new reader first gets some time to reach the store.
 bool HasReaderLostStore(Duration content_age, Duration followed_for);
 
 // Bound the time between two confirmations of a healthy reader: its watch of the configuration
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -22,6 +22,8 @@
   Duration watch_pause_ = std::chrono::milliseconds(300);
   // Pause between a list and the first watch.
   Duration first_watch_pause_{};
+  // The first watch at a new source returns soon, with or without changes, to confirm the content.
+  bool confirms_at_once_ = false;
   // Delays between retries of a failed call, with exponential back-off.
   Duration min_retry_delay_ = std::chrono::milliseconds(200);
   Duration max_retry_delay_ = std::chrono::milliseconds(1000);
@@ -52,7 +54,7 @@
   // Returns whether all records were listed at least once.
   bool HasSnapshot() const { return has_snapshot_; }
   Revision CurrentRevision() const { return revision_; }
-  // Returns when the store last confirmed the content.
+  // Returns when the store last confirmed the content, zero if it never did.
   Time ConfirmedAt() const { return confirmed_at_; }
 
  private:
