gateway: a stale list does not confirm the content

The page of a stale read is marked, and only a watch, a linearizable list or another host's stated age confirms. The store counts as regained only by content that was confirmed after the loss.

StaleListDoesNotConfirmTheContent failed before. The feeds no longer pass on the age of each response: the host compares its own.

--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -60,10 +60,10 @@
 void RecordFeed::OnPage(StorePage page) {
   if (page.status_ != StoreStatus::kOk) {
     ScheduleRetry();
-    return handler_.on_status_(page.status_, Duration(0));
+    return handler_.on_status_(page.status_);
   }
-  confirmed_at_ = std::max(confirmed_at_, Now() - page.age_);
-  is_next_watch_short_ = false;
+  if (!page.is_stale_) confirmed_at_ = std::max(confirmed_at_, Now() - page.age_);
+  is_next_watch_short_ = settings_.confirms_at_once_ && page.is_stale_;
   // Pages may have different revisions. Watching from the oldest one may repeat changes, but misses
   // none.
   listed_revision_ =
@@ -80,7 +80,7 @@
   }
   listed_records_.clear();
   const std::uint64_t generation = generation_;
-  handler_.on_status_(StoreStatus::kOk, page.age_);
+  handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
   if (settings_.first_watch_pause_.count() > 0) {
     is_next_watch_short_ = true;
@@ -115,11 +115,11 @@
     } else {
       ListOrWatch();
     }
-    return handler_.on_status_(events.status_, Duration(0));
+    return handler_.on_status_(events.status_);
   }
   if (events.status_ != StoreStatus::kOk) {
     ScheduleRetry();
-    return handler_.on_status_(events.status_, Duration(0));
+    return handler_.on_status_(events.status_);
   }
   confirmed_at_ = std::max(confirmed_at_, Now() - events.age_);
   is_next_watch_short_ = false;
@@ -128,7 +128,7 @@
   timer_.Set(Now() + settings_.watch_pause_);
   revision_ = std::max(revision_, events.revision_);
   if (!events.events_.empty()) handler_.on_events_(events.events_, revision_);
-  handler_.on_status_(StoreStatus::kOk, events.age_);
+  handler_.on_status_(StoreStatus::kOk);
 }
 
 void RecordFeed::ScheduleRetry() {
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -95,7 +95,7 @@
           [this, kind](const std::vector<StoreEvent>& events, Revision revision) {
             OnEvents(kind, events, revision);
           },
-          [this, kind](StoreStatus status, Duration age) { OnStatus(kind, status, age); }};
+          [this, kind](StoreStatus status) { OnStatus(kind, status); }};
 }
 
 void StoreSync::Start() {
@@ -380,7 +380,7 @@
                      {"source", source_.empty() ? "store" : source_}});
 }
 
-void StoreSync::OnStatus(RecordKind kind, StoreStatus status, Duration age) {
+void StoreSync::OnStatus(RecordKind kind, StoreStatus status) {
   const Time now = Now();
   if (source_.empty()) {
     OnOwnCallEnded(now);
@@ -406,7 +406,7 @@
   CheckContentAge(now);
   if (ContentAge(now) > kMaxConfirmationAge) {
     MarkStoreLost(StoreStatus::kUnreachable);
-  } else {
+  } else if (ConfirmedAt() > lost_at_) {
     OnSourceConfirmed(now);
   }
 }
@@ -425,6 +425,7 @@
 void StoreSync::MarkStoreLost(StoreStatus status) {
   if (is_lost_) return;
   is_lost_ = true;
+  lost_at_ = Now();
   logging::LogEvent(logging::LogLevel::kWarning, "store_lost",
                     {{"source", source_.empty() ? "store" : source_},
                      {"status", std::string(NameOf(kStoreStatusNames, status))}});
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -46,7 +46,7 @@
   RecordFeed::Handler MakeFeedHandler(RecordKind kind);
   void OnSnapshot(RecordKind kind, const std::vector<StoredRecord>& records, Revision revision);
   void OnEvents(RecordKind kind, const std::vector<StoreEvent>& events, Revision revision);
-  void OnStatus(RecordKind kind, StoreStatus status, Duration age);
+  void OnStatus(RecordKind kind, StoreStatus status);
   void PutRecord(RecordKind kind, const StoredRecord& record);
   void DeleteRecord(RecordKind kind, const std::string& name);
   void ApplyConfiguration(const Configuration& configuration);
@@ -115,6 +115,7 @@
   Time last_passed_on_{};    // Confirmation that the waiting followers were told last.
   Time read_store_until_{};  // Until then this host reads the store itself, without a reader.
   bool is_lost_ = false;     // No source confirms the content.
+  Time lost_at_{};
   Time regained_at_{};
 
   std::set<HostName> hosts_;
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -41,6 +41,8 @@
   Revision revision_ = 0;
   // Time since the store confirmed the content; 0 unless another host passed the content on.
   Duration age_{};
+  // The result of a kStale read of the store, which may lack changes of the last seconds.
+  bool is_stale_ = false;
 };
 
 struct StoreEvent {
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -38,8 +38,8 @@
     std::function<void(const std::vector<StoredRecord>&, Revision)> on_snapshot_;
     // Receives the changes that lead to a revision.
     std::function<void(const std::vector<StoreEvent>&, Revision)> on_events_;
-    // Receives the result of each call and the age of its content, see StorePage::age_.
-    std::function<void(StoreStatus, Duration)> on_status_;
+    // Receives the result of each call, after ConfirmedAt() was updated.
+    std::function<void(StoreStatus)> on_status_;
   };
 
   RecordFeed(RecordKind kind, Handler handler);
--- a/src/gateway/tests/mocks/mock_record_store.h
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -67,6 +67,7 @@
     list_calls_.push_back({kind, consistency});
     StorePage page;
     page.status_ = status_;
+    page.is_stale_ = consistency == Consistency::kStale;
     if (status_ == StoreStatus::kOk) {
       const auto& source =
           consistency == Consistency::kStale && stale_records_ ? *stale_records_ : records_;
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -39,12 +39,13 @@
       SetTimer();
     }
 
-    void List(RecordKind kind, const std::string& /*after*/, Consistency /*consistency*/,
+    void List(RecordKind kind, const std::string& /*after*/, Consistency consistency,
               Duration timeout, PageCallback callback) override {
       ++calls_;
-      Add(kind, -1, Duration(0), timeout, [this, kind, callback](StoreStatus status) {
+      Add(kind, -1, Duration(0), timeout, [this, kind, consistency, callback](StoreStatus status) {
         StorePage page;
         page.status_ = status;
+        page.is_stale_ = consistency == Consistency::kStale;
         if (status == StoreStatus::kOk) {
           for (const auto& [name, record] : store_.records_[kind]) page.records_.push_back(record);
           page.revision_ = store_.revision_;
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -45,7 +45,7 @@
                    }
                  }
                },
-               [this](StoreStatus status, Duration /*age*/) { last_status_ = status; }}) {
+               [this](StoreStatus status) { last_status_ = status; }}) {
     feed_.ReadFrom(store, kShortDelays);
   }
   std::set<std::string> names_;
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(RepeatedLossOfHistoryDelaysTheNextList);
   CPPUNIT_TEST(StaleListDoesNotReplaceNewerContent);
   CPPUNIT_TEST(RetriesAfterRefusedCalls);
+  CPPUNIT_TEST(StaleListDoesNotConfirmTheContent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -160,6 +161,20 @@
     CPPUNIT_ASSERT(observer.names_.contains("a"));
   }
 
+  // Guards against taking content for current that may lack the changes of the last seconds.
+  void StaleListDoesNotConfirmTheContent() {
+    Loop loop;
+    MockRecordStore store;
+    store.Put(RecordKind::kEvacuation, ZoneRecord("a"));
+    FeedObserver observer(store);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.snapshots_ == 1; }));
+    CPPUNIT_ASSERT(store.list_calls_.back().consistency_ == Consistency::kStale);
+    CPPUNIT_ASSERT(observer.feed_.ConfirmedAt() == Time{});
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return store.HasWaitingWatches(1); }));
+    store.ExpireWatches();
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.feed_.ConfirmedAt() > Time{}; }));
+  }
+
   void RetriesAfterRefusedCalls() {
     Loop loop;
     MockRecordStore store;
