gateway: count a response only with the identifier of its request

It can happen here in two ways: a rejection without an identifier was taken for the response to the request in flight, and a repeated rejection was taken for the response to a probe, whose own response (a rejection without an identifier) then arrived after the next request. Callers got 503 for a request that was executed, and could send it again.

A response to a request now needs its identifier; others are skipped (extra_answer) and their connection is not reused. A response with an identifier answers no probe. A target that leaves out identifiers is now waited for until the deadline of the request.

--- a/src/gateway/icall_format.h
+++ b/src/gateway/icall_format.h
@@ -19,7 +19,7 @@
 
 // Metadata of a target's response.
 struct TargetResponseInfo {
-  std::optional<std::string> call_id_;  // Request that it answers.
+  std::optional<std::string> call_id_;  // Request that it answers; none if it answers a probe.
   bool is_signed_ = false;              // Signed by the service itself.
   bool not_run_ = false;                // The target did not execute the request.
   bool misdirected_ = false;            // Another target uses this address now.
@@ -30,6 +30,8 @@
 struct ProbeResult {
   bool healthy_ = false;
   std::optional<TargetId> target_;  // The target that responded.
+  // Request that the response belongs to. Such a response answers no probe.
+  std::optional<std::string> call_id_;
   std::optional<TargetLoad> load_;
   Duration remaining_cold_time_{};
 };
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -91,11 +91,13 @@
 
   bool OnHead(http::ResponseHead& head) override {
     TargetResponseInfo response = call_.state_.format_.ReadTargetResponse(head);
-    if (response.call_id_ && *response.call_id_ != call_.info_.id_) {
+    // A late response to a probe has no identifier.
+    if (response.call_id_ != call_.info_.id_) {
       logging::LogEvent(logging::LogLevel::kWarning, "extra_answer",
                         {{"call", call_.info_.id_},
                          {"target", target_->record_.id_},
-                         {"belongs_to", *response.call_id_}});
+                         {"status", std::to_string(head.status_)},
+                         {"belongs_to", response.call_id_.value_or("")}});
       return false;
     }
     response_ = std::move(response);
--- a/src/gateway/internal/probe.cc
+++ b/src/gateway/internal/probe.cc
@@ -32,6 +32,14 @@
 bool Probe::OnHead(http::ResponseHead& head) {
   connection_->LimitResponse(kMaxProbeResponseBytes);
   const ProbeResult result = state_.format_.ReadProbeResponse(head);
+  if (result.call_id_) {
+    logging::LogEvent(logging::LogLevel::kWarning, "extra_answer",
+                      {{"call", ""},
+                       {"target", target_->record_.id_},
+                       {"status", std::to_string(head.status_)},
+                       {"belongs_to", *result.call_id_}});
+    return false;
+  }
   if (result.target_ && *result.target_ != target_->record_.id_) {
     if (!target_->misdirected_) {
       logging::LogEvent(logging::LogLevel::kWarning, "target_misdirected",
--- a/src/gateway/tests/mocks/fake_format.h
+++ b/src/gateway/tests/mocks/fake_format.h
@@ -53,6 +53,7 @@
   ProbeResult ReadProbeResponse(const http::ResponseHead& head) const override {
     ProbeResult answer;
     answer.healthy_ = head.status_ == 200;
+    if (const auto* id = http::FindHeader(head.headers_, "Id")) answer.call_id_ = *id;
     if (const auto* target = http::FindHeader(head.headers_, "Target")) answer.target_ = *target;
     if (const auto* running = http::FindHeader(head.headers_, "Running")) {
       answer.load_ = TargetLoad{std::stoi(*running), 0, 2, 100};
