gateway: during a stop, accept only requests that end before it

It happens here: requests were accepted for 0.45 of the stop time whatever their deadline, so with a stop time above 6.7 s also later than 3 s after the signal, and a request that must not be repeated went to a target although its deadline was after the end of the calls; it then got 504, outcome unknown.

Once a stop has begun, a request that must not be repeated is accepted only if its deadline is before the calls are ended by force; after 2.7 s that holds for every request. The others get 503, are not executed, and can go to another host at once. NonIdempotentRequestThatMayOutlastTheStopIsRejected and LateRequestThatMayOutlastALongStopIsRejected failed before (200).

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -200,6 +200,10 @@
   deadline_ = request_.received_ +
               std::min(route_->timeout_, info_.time_left_.value_or(Duration::max() / 2));
   if (now >= deadline_) return RespondWithError(503, EndReason::kTooLate, Duration(0), now);
+  if (deadline_ > state_.calls_end_at_ &&
+      (!IsIdempotent(route_->kind_) || now > state_.accepts_long_until_)) {
+    return RespondWithError(503, EndReason::kStopping, Duration(0), now);
+  }
   service_ = SelectService(state_.traffic_split_, *route_);
   CreditRetryBudget(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_, now);
   StartSelection(SendPurpose::kFirst, now);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -38,6 +38,9 @@
 // about other hosts, because they query the directory again when the time to live of its response
 // ends. Later requests are rejected because they might not finish in time.
 constexpr double kLeavingPhaseShare = 0.45;
+// In a long stop, requests are accepted for longer than this only if they must end before the calls
+// are ended by force.
+constexpr Duration kMaxLongRequestPhase = std::chrono::milliseconds(2700);
 // Calls are waited for until this share of the stop time, and until the margin before its end. The
 // rest is for their responses.
 constexpr double kMinCallStopShare = 5.0 / 6;
@@ -231,6 +234,8 @@
   void BeginStop(Time now) {
     stop_started_ = now;
     stop_time_ = settings_.bounds_.stop_time_;
+    state_.calls_end_at_ = now + CallStopTime(stop_time_);
+    state_.accepts_long_until_ = now + kMaxLongRequestPhase;
   }
 
   // Ends the calls that are left when the time allowed for them has ended.
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -74,6 +74,10 @@
   std::size_t fleet_size_ = 1;
   bool has_target_list_ = false;  // The first target list was received.
   bool stopping_ = false;         // New requests are rejected.
+  // When calls are ended by force during a stop. Only idempotent requests that arrive until
+  // accepts_long_until_ may have a later deadline.
+  Time calls_end_at_ = Time::max();
+  Time accepts_long_until_ = Time::max();
   std::function<void(const TargetId&)> on_target_failed_;
 };
 
--- a/src/gateway/tests/stop_test.cc
+++ b/src/gateway/tests/stop_test.cc
@@ -26,6 +26,8 @@
 
 // The host serves for 0.45 of this time. It ends the calls that are left in the last sixth.
 constexpr Duration kStopTime = std::chrono::seconds(3);
+// The serving phase of this one is longer than any request is accepted that may outlast the stop.
+constexpr Duration kLongStopTime = std::chrono::seconds(8);
 constexpr Duration kServingPhase = milliseconds(1350);
 // Times after the stop signal at which the host still serves, and at which it no longer does.
 constexpr Duration kServingTime = milliseconds(1250);
@@ -102,6 +104,8 @@
   CPPUNIT_TEST(SecondStopSignalDoesNotCutRequests);
   CPPUNIT_TEST(ReloadDuringAStopDoesNotShortenIt);
   CPPUNIT_TEST(RequestAfterTheServingPhaseIsRejected);
+  CPPUNIT_TEST(NonIdempotentRequestThatMayOutlastTheStopIsRejected);
+  CPPUNIT_TEST(LateRequestThatMayOutlastALongStopIsRejected);
   CPPUNIT_TEST(ForcedEndRespondsToRequestsInFlight);
   CPPUNIT_TEST(PartlyReadQueryIsAnsweredBeforeTheEnd);
   CPPUNIT_TEST_SUITE_END();
@@ -224,6 +228,31 @@
     CPPUNIT_ASSERT_EQUAL(503, host_->Call("/safe/x").status_);
   }
 
+  // Guards against sending a request that must not be repeated to a target although the host may
+  // have to cut it: the caller could not know whether it was executed.
+  void NonIdempotentRequestThatMayOutlastTheStopIsRejected() {
+    host_->gateway_->Stop();
+    RunUntilStopped(kServingTime - milliseconds(500));
+    const int requests = target_->requests_received_;
+    CPPUNIT_ASSERT_EQUAL(503, host_->Call("/once/x", "body").status_);
+    CPPUNIT_ASSERT_EQUAL(requests, target_->requests_received_);
+    // One with a timeout within the rest of the stop is served, and so is one that may be repeated.
+    CPPUNIT_ASSERT_EQUAL(200, host_->Call("/brief/x", "body").status_);
+    CPPUNIT_ASSERT_EQUAL(200, host_->Call("/safe/x").status_);
+  }
+
+  // Guards against accepting requests for nearly half of a long stop, and cutting them at its end.
+  void LateRequestThatMayOutlastALongStopIsRejected() {
+    host_->settings_.bounds_.stop_time_ = kLongStopTime;
+    host_->gateway_->Reload(host_->settings_);
+    host_->gateway_->Stop();
+    host_->loop_.RunFor(milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(200, host_->Call("/safe/x").status_);
+    host_->loop_.RunFor(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(503, host_->Call("/safe/x").status_);
+    CPPUNIT_ASSERT_EQUAL(200, host_->Call("/brief/x", "body").status_);
+  }
+
   // Guards against closing the connections of calls that are still in flight when the time allowed
   // for the stop ends. Their outcome is unknown, which 504 says.
   void ForcedEndRespondsToRequestsInFlight() {
