http: read the socket before a request counts as too slow

After a pause of the process the timer that checks timeouts can run before the sockets are read. RequestThatArrivedBeforeATimeoutIsProcessed failed before (408), for a request cut in its head and in its body.

--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -207,21 +207,32 @@
   return true;
 }
 
+void ServerConnection::CheckReadTimeout(Time now) {
+  const auto is_late = [this, now] {
+    const bool has_head = parser_ != nullptr && parser_->HasHead();
+    return has_head ? now - last_byte_at_ > owner_.limits_.body_timeout_
+                    : now - state_entered_at_ > owner_.limits_.header_timeout_;
+  };
+  if (!is_late()) return;
+  // A timer can run before the socket is read. The rest of the request may have arrived in time.
+  const auto self = shared_from_this();
+  const Time last_byte_at = last_byte_at_;
+  stream_->ReceiveNow();
+  const bool received_bytes = last_byte_at_ != last_byte_at;
+  const bool has_head = parser_ != nullptr && parser_->HasHead();
+  if (state_ != State::kReading || (has_head && received_bytes)) return;
+  Reject(408, has_head ? "body took too long" : "header took too long");
+}
+
 void ServerConnection::CheckTimeouts(Time now) {
   const ServerLimits& limits = owner_.limits_;
   switch (state_) {
     case State::kIdle:
       if (now - state_entered_at_ > limits.idle_timeout_) CloseIfIdle();
       break;
-    case State::kReading: {
-      const bool has_head = parser_ != nullptr && parser_->HasHead();
-      if (!has_head && now - state_entered_at_ > limits.header_timeout_) {
-        Reject(408, "header took too long");
-      } else if (has_head && now - last_byte_at_ > limits.body_timeout_) {
-        Reject(408, "body took too long");
-      }
+    case State::kReading:
+      CheckReadTimeout(now);
       break;
-    }
     case State::kClosing:
       if (now - state_entered_at_ > kLingerTime && stream_->UnsentBytes() == 0) CloseNow();
       break;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -101,6 +101,7 @@
   void ParseInput();
   // Returns whether a complete request was processed, so that another one may follow.
   bool ParseRequest();
+  void CheckReadTimeout(Time now);
   void Reject(int status, std::string_view reason);
   void FinishResponse(bool close);
   void CloseGracefully();
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(ServerRejectsSlowHeaders);
   CPPUNIT_TEST(ServerClosesIdleConnectionsOnly);
   CPPUNIT_TEST(RequestThatArrivedBeforeAnIdleCloseIsProcessed);
+  CPPUNIT_TEST(RequestThatArrivedBeforeATimeoutIsProcessed);
   CPPUNIT_TEST(FirstRequestOfANewConnectionIsProcessedDuringAStop);
   CPPUNIT_TEST(IdleCloseLingersLikeAnyOther);
   CPPUNIT_TEST(PipelinedRequestsDoNotExhaustTheStack);
@@ -399,6 +400,31 @@
     }
   }
 
+  // Guards against a 408 after a pause of the process for a request whose rest arrived in time.
+  void RequestThatArrivedBeforeATimeoutIsProcessed() {
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+    for (const std::size_t cut : {std::size_t{20}, request.size() - 2}) {
+      Loop loop;
+      EchoServer server;
+      struct Sender : IStreamHandler {
+        void OnConnected() override {}
+        void OnDataReceived() override {}
+        void OnOutputFlushed() override {}
+        void OnClosed(Failure /*failure*/) override {}
+      } sender;
+      const auto stream = Stream::Connect(server.GetAddress(), sender, {});
+      stream->Write(request.substr(0, cut));
+      CPPUNIT_ASSERT(
+          loop.RunUntil([&] { return server.connections_.CountByState().reading_ == 1; }));
+      stream->Write(request.substr(cut));
+      g_usleep(10'000);
+      server.connections_.CheckTimeouts(Now() + std::chrono::minutes(1));
+      CPPUNIT_ASSERT(loop.RunUntil([&] { return !stream->InputBuffer().empty(); }));
+      CPPUNIT_ASSERT_EQUAL(0, server.rejected_status_);
+      CPPUNIT_ASSERT(stream->InputBuffer().starts_with("HTTP/1.1 200 "));
+    }
+  }
+
   // Guards against closing a connection as idle before its first request has arrived.
   void FirstRequestOfANewConnectionIsProcessedDuringAStop() {
     Loop loop;
