entry: tests keep a closed port bound

The port stays bound without a listener now, so that connections are refused and nobody else can listen there; the assertions are unchanged. The same for TargetFaultsTest::UnreachableAndRefusedCallsAreNotRun.

--- a/src/entry/tests/host_rules_test.cc
+++ b/src/entry/tests/host_rules_test.cc
@@ -191,15 +191,11 @@
   // Guards against failed calls after the dispatcher of the shard has crashed, before the
   // membership has noticed.
   void DispatchesLocallyWhenDispatcherIsUnreachable() {
-    std::string closed;
-    {
-      const FakeTarget gone([](Connection&) {});
-      closed = gone.Address();
-    }
+    const ClosedPort closed;
     FakeTarget target(EchoHandler);
     EntryFixture entry;
     entry.targets_ = {target.Address()};
-    entry.view_.placements_[{"svc", "z1"}].dispatcher_ = entry.Member("h9", closed);
+    entry.view_.placements_[{"svc", "z1"}].dispatcher_ = entry.Member("h9", closed.Address());
     entry.Publish();
     CPPUNIT_ASSERT_EQUAL(std::string("GET /a|"), entry.Call("GET", "/s/svc/a").body_);
     CPPUNIT_ASSERT_EQUAL(std::string("POST /work|x"), entry.Post(entry.NewId()).body_);
--- a/src/entry/tests/mocks/fake_target.h
+++ b/src/entry/tests/mocks/fake_target.h
@@ -113,6 +113,29 @@
   return head.substr(value, head.find("\r\n", value) - value);
 }
 
+// A port that refuses connections while the object exists: it is bound, so that no other program
+// can take it, but nothing listens there.
+class ClosedPort {
+ public:
+  ClosedPort() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    socklen_t size = sizeof address;
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+  }
+  ~ClosedPort() { close(socket_); }
+  ClosedPort(const ClosedPort&) = delete;
+  ClosedPort& operator=(const ClosedPort&) = delete;
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  int socket_;
+  int port_ = 0;
+};
+
 // A server that runs a handler on a thread per connection.
 class FakeTarget {
  public:
--- a/src/entry/tests/target_faults_test.cc
+++ b/src/entry/tests/target_faults_test.cc
@@ -98,16 +98,12 @@
 
   // The outcome must be not_run if the target was unreachable or refused the call (invariant 5).
   void UnreachableAndRefusedCallsAreNotRun() {
-    std::string closed;
-    {
-      const FakeTarget gone([](Connection&) {});
-      closed = gone.Address();
-    }
+    const ClosedPort closed;
     FakeTarget refusing([](Connection& connection) {
       const std::string head = ReadRequest(connection);
       connection.Write(Response(head, "", "503 Full", "Monsoonshelf-Outcome: not_run\r\n"));
     });
-    for (const auto& address : {closed, refusing.Address()}) {
+    for (const auto& address : {closed.Address(), refusing.Address()}) {
       EntryFixture entry;
       entry.targets_ = {address};
       entry.Publish();
