gateway: send nothing to targets that leave or ask for a pause

IsEligible excludes the target, so first sends, retries, hedges and probes all respect it, however the notice was learnt and whatever the store's record says. Marks belong to one incarnation; the responses of an earlier one and of a misdirected target change nothing. Hosts return spread over a quarter of the pause. If all targets of a service leave or pause, a request is refused at once with the time until the first pause ends. Events target_leaving, target_paused, target_pause_ended and target_notice_invalid, counter target_notices_total.

Hosts don't tell each other yet: not measured.

--- a/src/gateway/icall_format.h
+++ b/src/gateway/icall_format.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/gateway_types.h"
+#include "gateway/target_notices.h"
 #include "http/http_types.h"
 
 namespace monsoonshelf::gateway {
@@ -25,6 +26,7 @@
   bool misdirected_ = false;            // Another target uses this address now.
   bool is_encoded_ = false;             // Content-encoded: not the original bytes of the service.
   std::optional<TargetLoad> load_;
+  TargetNotice notice_;
 };
 
 struct ProbeResult {
@@ -34,6 +36,7 @@
   std::optional<std::string> call_id_;
   std::optional<TargetLoad> load_;
   Duration remaining_cold_time_{};
+  TargetNotice notice_;
 };
 
 struct DirectoryQuery {
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -100,6 +100,9 @@
                          {"belongs_to", response.call_id_.value_or("")}});
       return false;
     }
+    if (!response.misdirected_) {
+      ApplyTargetNotice(call_.state_, *target_, response.notice_, "response", Now());
+    }
     response_ = std::move(response);
     head_ = head;
     if (!IsForwardable()) {
@@ -344,7 +347,10 @@
   // Earlier attempts may have failed during this search. A 503 would promise the caller that the
   // request was not executed.
   if (purpose_ != SendPurpose::kFirst) return RetryOrFail(now);
-  RespondWithError(503, EndReason::kNoTarget, NoTargetRetryDelay(state_.random_), now);
+  RespondWithError(
+      503, EndReason::kNoTarget,
+      std::max(NoTargetRetryDelay(state_.random_), TimeUntilPauseEnds(state_, Service(), now)),
+      now);
 }
 
 void Call::EndOverloaded(const AdmissionDecision& decision, Time now) {
@@ -578,10 +584,10 @@
   }
   if (error_response_ != nullptr) return RelayResponse(*error_response_);
   if (possibly_executed_sends_ == 0) {
+    const Duration delay = JitterRetryDelay(MakePlacementInputs().service_time_,
+                                            Service().recent_requests_, state_.random_);
     return RespondWithError(503, EndReason::kTargetsRefused,
-                            JitterRetryDelay(MakePlacementInputs().service_time_,
-                                             Service().recent_requests_, state_.random_),
-                            now);
+                            std::max(delay, TimeUntilPauseEnds(state_, Service(), now)), now);
   }
   RespondWithError(502, EndReason::kTargetFailed, Duration(0), now);
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -272,6 +272,7 @@
     for (QueryServer* server : QueryServers()) server->connections_.CheckTimeouts(now);
     state_.pool_.CloseExpired(now);
     RemoveExpiredTargets(state_, now);
+    EndTargetPauses(state_, now);
     UpdatePeers(now);
     store_sync_.OnTick(ReaderCandidates(now), now);
     if (++tick_count_ % kTicksPerMetricsUpdate == 0) UpdateGauges(now);
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -38,6 +38,8 @@
             Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
         directory_queries_(
             Counter("monsoonshelf_gateway_directory_queries_total", "Directory answers", labels)),
+        target_notices_(
+            Counter("monsoonshelf_gateway_target_notices_total", "Notices of targets", labels)),
         content_overdue_(Counter("monsoonshelf_gateway_content_overdue_total",
                                  "Times in which the content was older than a change may take",
                                  labels)),
@@ -66,6 +68,7 @@
   CounterFamily& probes_;
   CounterFamily& store_calls_;
   CounterFamily& directory_queries_;
+  CounterFamily& target_notices_;
   CounterFamily& content_overdue_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
@@ -115,6 +118,10 @@
   families_->store_calls_.Add({{"kind", ToString(kind)}, {"status", ToString(status)}}).Increment();
 }
 
+void GatewayMetrics::CountTargetNotice(std::string_view kind) {
+  families_->target_notices_.Add({{"kind", ToString(kind)}}).Increment();
+}
+
 void GatewayMetrics::CountContentOverdue() { families_->content_overdue_.Add({}).Increment(); }
 
 void GatewayMetrics::CountDirectoryQuery() { families_->directory_queries_.Add({}).Increment(); }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -24,6 +24,8 @@
   void CountProbe(std::string_view result);
   void CountStoreCall(std::string_view kind, std::string_view status);
   void CountDirectoryQuery();
+  // Counts a target that said that it leaves or wants a pause, or a header that says neither.
+  void CountTargetNotice(std::string_view kind);
   // Counts a time in which the content was confirmed longer ago than a change may take.
   void CountContentOverdue();
   void SetGauge(std::string_view name, double value);
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -99,8 +99,57 @@
   for (const TargetId& id : expired) RemoveTarget(state, id);
 }
 
+void ApplyTargetNotice(GatewayState& state, TargetState& target, const TargetNotice& notice,
+                       std::string_view source, Time now) {
+  const TargetId& id = target.record_.id_;
+  if (!notice.problem_.empty()) {
+    state.metrics_.CountTargetNotice("invalid");
+    logging::LogEvent(
+        logging::LogLevel::kWarning, "target_notice_invalid",
+        {{"target", id}, {"source", std::string(source)}, {"header", notice.problem_}});
+  }
+  const NoticeChange change = ApplyNotice(target.notices_, notice, state.random_, now);
+  if (change.leaving_) {
+    state.metrics_.CountTargetNotice("leaving");
+    logging::LogEvent(logging::LogLevel::kInfo, "target_leaving",
+                      {{"target", id},
+                       {"service", target.record_.service_},
+                       {"source", std::string(source)},
+                       {"born", std::to_string(target.record_.started_unix_ms_)}});
+  }
+  if (change.paused_) {
+    state.metrics_.CountTargetNotice("pause");
+    logging::LogEvent(
+        logging::LogLevel::kInfo, "target_paused",
+        {{"target", id},
+         {"service", target.record_.service_},
+         {"source", std::string(source)},
+         {"for_ms", std::to_string((target.notices_.paused_until_ - now).count() / 1000)}});
+  }
+}
+
+void EndTargetPauses(GatewayState& state, Time now) {
+  for (const auto& [id, target] : state.targets_) {
+    Time& paused_until = target->notices_.paused_until_;
+    if (paused_until == Time{} || now < paused_until) continue;
+    paused_until = {};
+    logging::LogEvent(logging::LogLevel::kInfo, "target_pause_ended", {{"target", id}});
+  }
+}
+
+Duration TimeUntilPauseEnds(const GatewayState& state, const ServiceState& service, Time now) {
+  Duration shortest = Duration::max();
+  for (const auto& [id, target] : service.targets_) {
+    if (target->notices_.leaving_ || target->record_.draining_ || target->misdirected_) continue;
+    if (state.evacuated_zones_.contains(target->record_.zone_)) continue;
+    shortest = std::min(shortest, std::max(target->notices_.paused_until_ - now, Duration(0)));
+  }
+  return shortest == Duration::max() ? Duration(0) : shortest;
+}
+
 bool IsEligible(const GatewayState& state, const TargetState& target, Time now) {
   if (target.removed_ || target.misdirected_ || target.record_.draining_) return false;
+  if (!WantsRequests(target.notices_, now)) return false;
   if (state.evacuated_zones_.contains(target.record_.zone_)) return false;
   if (!IsCold(target.cold_, now)) return true;
   return target.record_.zone_ == state.settings_.zone_ &&
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -18,6 +18,7 @@
 #include "gateway/placement.h"
 #include "gateway/routing.h"
 #include "gateway/target_health.h"
+#include "gateway/target_notices.h"
 #include "http/connection_pool.h"
 
 namespace monsoonshelf::gateway {
@@ -33,6 +34,7 @@
   Address address_;
   TargetHealth health_;
   ColdState cold_;
+  TargetNotices notices_;
   int in_flight_ = 0;           // Requests from this entry host.
   std::uint64_t affinity_ = 0;  // Hash of host and target; this host prefers the lowest values.
   bool misdirected_ = false;    // Another target responds at its address.
@@ -87,8 +89,18 @@
 // Removes the targets whose remove_at_ time has passed.
 void RemoveExpiredTargets(GatewayState& state, Time now);
 
+// Applies what a target said in a response of `source`, for example a probe.
+void ApplyTargetNotice(GatewayState& state, TargetState& target, const TargetNotice& notice,
+                       std::string_view source, Time now);
+// Logs the pauses of targets that have ended since the last call.
+void EndTargetPauses(GatewayState& state, Time now);
+// Returns the time until a target of the service wants requests again; zero if one wants them now,
+// or if none will.
+Duration TimeUntilPauseEnds(const GatewayState& state, const ServiceState& service, Time now);
+
 // Returns whether the target may receive requests from this host: it is registered, is not draining
-// and is not in an evacuated zone. Only one host of its zone may send to a cold target.
+// or leaving, has not asked for a pause, and is not in an evacuated zone. Only one host of its zone
+// may send to a cold target.
 bool IsEligible(const GatewayState& state, const TargetState& target, Time now);
 // As IsEligible, but also respects the rate limit of a cold target.
 bool CanSendNow(const GatewayState& state, const TargetState& target, Time now);
--- a/src/gateway/internal/probe.cc
+++ b/src/gateway/internal/probe.cc
@@ -50,6 +50,7 @@
     target_->misdirected_ = true;
     return true;
   }
+  ApplyTargetNotice(state_, *target_, result.notice_, "probe", Now());
   if (target_->health_.reports_unhealthy_ == result.healthy_) {
     logging::LogEvent(
         logging::LogLevel::kInfo, "target_health",
--- a/src/gateway/tests/mocks/fake_format.h
+++ b/src/gateway/tests/mocks/fake_format.h
@@ -34,6 +34,7 @@
     answer.is_signed_ = http::FindHeader(head.headers_, "Signed") != nullptr;
     answer.not_run_ = http::FindHeader(head.headers_, "Not-Run") != nullptr;
     answer.misdirected_ = head.status_ == 421;
+    answer.notice_ = ReadNotice(head);
     answer.is_encoded_ = http::FindHeader(head.headers_, "Content-Encoding") != nullptr;
     return answer;
   }
@@ -58,6 +59,7 @@
     if (const auto* running = http::FindHeader(head.headers_, "Running")) {
       answer.load_ = TargetLoad{std::stoi(*running), 0, 2, 100};
     }
+    answer.notice_ = ReadNotice(head);
     if (const auto* cold = http::FindHeader(head.headers_, "Cold-Ms")) {
       answer.remaining_cold_time_ = std::chrono::milliseconds(std::stoi(*cold));
     }
@@ -76,6 +78,16 @@
     for (const std::string& address : addresses) text += address + " ";
     return text;
   }
+
+ private:
+  static TargetNotice ReadNotice(const http::ResponseHead& head) {
+    TargetNotice notice;
+    notice.leaving_ = http::FindHeader(head.headers_, "Leaving") != nullptr;
+    if (const auto* pause = http::FindHeader(head.headers_, "Pause-Ms")) {
+      notice.pause_ = std::chrono::milliseconds(std::stoi(*pause));
+    }
+    return notice;
+  }
 };
 
 }  // namespace monsoonshelf::gateway::tests
--- a/src/gateway/tests/mocks/fake_target.h
+++ b/src/gateway/tests/mocks/fake_target.h
@@ -48,15 +48,19 @@
       if (ignores_probes_) return;
       http::Headers headers = {{"Target", behaviour_ == Behaviour::kMisdirected ? "other" : name_},
                                {"Running", std::to_string(reported_running_)}};
+      headers.insert(headers.end(), probe_headers_.begin(), probe_headers_.end());
       if (cold_time_ms_ > 0) headers.emplace_back("Cold-Ms", std::to_string(cold_time_ms_));
       return connection->Respond(healthy_ ? 200 : 503, headers, {});
     }
     ++requests_received_;
     const std::string id = *http::FindHeader(request.head_.headers_, "Id");
     last_time_left_ms_ = std::stoi(*http::FindHeader(request.head_.headers_, "Left-Ms"));
-    const http::Headers signed_headers = {{"Id", id}, {"Signed", "yes"}};
+    http::Headers signed_headers = {{"Id", id}, {"Signed", "yes"}};
+    signed_headers.insert(signed_headers.end(), response_headers_.begin(), response_headers_.end());
     if (behaviour_ == Behaviour::kRejects) {
-      return connection->Respond(503, {{"Id", id}, {"Not-Run", "1"}}, {});
+      http::Headers headers = {{"Id", id}, {"Not-Run", "1"}};
+      headers.insert(headers.end(), response_headers_.begin(), response_headers_.end());
+      return connection->Respond(503, headers, {});
     }
     ++executions_[id];
     switch (behaviour_) {
@@ -87,7 +91,9 @@
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
   void RespondToHeld(const std::string& id, const std::string& body = "held") {
-    held_.at(id)->Respond(200, {{"Id", id}, {"Signed", "yes"}}, body);
+    http::Headers headers = {{"Id", id}, {"Signed", "yes"}};
+    headers.insert(headers.end(), response_headers_.begin(), response_headers_.end());
+    held_.at(id)->Respond(200, headers, body);
     held_.erase(id);
   }
   int Executions() const {
@@ -103,6 +109,8 @@
   Behaviour behaviour_ = Behaviour::kResponds;
   bool healthy_ = true;
   bool ignores_probes_ = false;
+  http::Headers response_headers_;  // Added to the responses to requests.
+  http::Headers probe_headers_;     // Added to the responses to probes.
   int reported_running_ = 0;
   int cold_time_ms_ = 0;
   int probes_received_ = 0;
--- a/src/gateway/tests/mocks/gateway_host.h
+++ b/src/gateway/tests/mocks/gateway_host.h
@@ -23,6 +23,7 @@
     int status_ = 0;
     std::string body_;
     http::Failure failure_ = http::Failure::kNone;
+    http::Headers headers_;
   };
 
   GatewayHost() {
@@ -76,11 +77,11 @@
   }
 
   void Send(const std::string& path, const std::string& body, Response& response) {
-    last_call_ =
-        client_->Call(FormatRequest(path, body, std::to_string(++next_id_)), false,
-                      std::chrono::seconds(20), [&response](const http::CallResult& result) {
-                        response = {true, result.status_, result.body_, result.failure_};
-                      });
+    last_call_ = client_->Call(
+        FormatRequest(path, body, std::to_string(++next_id_)), false, std::chrono::seconds(20),
+        [&response](const http::CallResult& result) {
+          response = {true, result.status_, result.body_, result.failure_, result.headers_};
+        });
   }
 
   Response Call(const std::string& path, const std::string& body = {}) {
@@ -95,7 +96,7 @@
     Response response;
     client.Call("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n", true, std::chrono::seconds(20),
                 [&response](const http::CallResult& result) {
-                  response = {true, result.status_, result.body_, result.failure_};
+                  response = {true, result.status_, result.body_, result.failure_, result.headers_};
                 });
     loop_.RunUntil([&response] { return response.done_; });
     return response;
