gateway: read a configuration that can't be read once more

The feed now lists the latest records once for each such revision, and unreadable_records_total counts them. UnreadableConfigurationIsReadAgain failed before: no list followed. A record that stays unreadable is not read again, because each call is billed.

--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -40,6 +40,8 @@
             Counter("monsoonshelf_gateway_directory_queries_total", "Directory answers", labels)),
         target_notices_(
             Counter("monsoonshelf_gateway_target_notices_total", "Notices of targets", labels)),
+        unreadable_records_(Counter("monsoonshelf_gateway_unreadable_records_total",
+                                    "Records that could not be read", labels)),
         content_overdue_(Counter("monsoonshelf_gateway_content_overdue_total",
                                  "Times in which the content was older than a change may take",
                                  labels)),
@@ -69,6 +71,7 @@
   CounterFamily& store_calls_;
   CounterFamily& directory_queries_;
   CounterFamily& target_notices_;
+  CounterFamily& unreadable_records_;
   CounterFamily& content_overdue_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
@@ -122,6 +125,10 @@
   families_->target_notices_.Add({{"kind", ToString(kind)}}).Increment();
 }
 
+void GatewayMetrics::CountUnreadableRecord(std::string_view kind) {
+  families_->unreadable_records_.Add({{"kind", ToString(kind)}}).Increment();
+}
+
 void GatewayMetrics::CountContentOverdue() { families_->content_overdue_.Add({}).Increment(); }
 
 void GatewayMetrics::CountDirectoryQuery() { families_->directory_queries_.Add({}).Increment(); }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -26,6 +26,7 @@
   void CountDirectoryQuery();
   // Counts a target that said that it leaves or wants a pause, or a header that says neither.
   void CountTargetNotice(std::string_view kind);
+  void CountUnreadableRecord(std::string_view kind);
   // Counts a time in which the content was confirmed longer ago than a change may take.
   void CountContentOverdue();
   void SetGauge(std::string_view name, double value);
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -40,6 +40,11 @@
   ListOrWatch();
 }
 
+void RecordFeed::RequestList() {
+  needs_list_ = true;
+  consistency_ = Consistency::kLatest;
+}
+
 void RecordFeed::ListOrWatch() {
   timer_.Clear();
   if (needs_list_) {
@@ -85,6 +90,8 @@
   if (settings_.first_watch_pause_.count() > 0) {
     is_next_watch_short_ = true;
     timer_.Set(Now() + settings_.first_watch_pause_);
+  } else if (needs_list_) {
+    timer_.Set(Now() + settings_.watch_pause_);
   } else {
     Watch();
   }
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -329,9 +329,14 @@
                        {"name", record.name_},
                        {"revision", std::to_string(record.revision_)},
                        {"problem", record.problem_}});
+    state_.metrics_.CountUnreadableRecord(KindName(kind));
     // A target with an unreadable registration is removed. An unreadable configuration leaves the
-    // previous one in effect.
+    // previous one in effect; it is read once more, in case only the response was spoiled.
     if (kind == RecordKind::kTarget) RemoveTarget(state_, record.name_);
+    if (kind == RecordKind::kConfiguration &&
+        std::exchange(unreadable_configuration_, record.revision_) != record.revision_) {
+      configuration_feed_.RequestList();
+    }
     return;
   }
   if (const auto* configuration = std::get_if<Configuration>(&record.value_)) {
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -116,6 +116,8 @@
   Time read_store_until_{};  // Until then this host reads the store itself, without a reader.
   bool is_lost_ = false;     // No source confirms the content.
   Time lost_at_{};
+  // Of the last configuration that could not be read; it was read once more.
+  Revision unreadable_configuration_ = -1;
   Time regained_at_{};
 
   std::set<HostName> hosts_;
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -51,6 +51,8 @@
   void Pause();
   // Abandons a pending call, whose connection may be dead, and issues a new one.
   void Restart();
+  // Lists the latest records instead of starting the next watch. May be called by the handler.
+  void RequestList();
   // Returns whether all records were listed at least once.
   bool HasSnapshot() const { return has_snapshot_; }
   Revision CurrentRevision() const { return revision_; }
--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,6 +76,7 @@
   CPPUNIT_TEST(ColdTargetIsRateLimited);
   CPPUNIT_TEST(IdleTargetInAnotherZoneIsPreferredToBusyOnes);
   CPPUNIT_TEST(CompactionFoundByOneWatchRestartsTheOthers);
+  CPPUNIT_TEST(UnreadableConfigurationIsReadAgain);
   CPPUNIT_TEST(FollowerOfADisconnectedReaderReadsTheStore);
   CPPUNIT_TEST(ExpiredRegistrationIsKeptForAGracePeriod);
   CPPUNIT_TEST(StopWaitsForRequestsInFlight);
@@ -440,6 +442,35 @@
     CPPUNIT_ASSERT_EQUAL(503, Call("/safe/x").status_);
   }
 
+  // Guards against keeping an older configuration in force without end because one response of the
+  // store was spoiled.
+  void UnreadableConfigurationIsReadAgain() {
+    StartServing();
+    WaitForStoreUpdates();
+    StoredRecord record = {"main", 0, {}, "not a configuration", "spoiled"};
+    const auto count_lists = [this] {
+      return std::count_if(
+          store_->list_calls_.begin(), store_->list_calls_.end(),
+          [](const auto& call) { return call.kind_ == RecordKind::kConfiguration; });
+    };
+    const auto lists = count_lists();
+    store_->Put(RecordKind::kConfiguration, record);
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return count_lists() > lists; }));
+    CPPUNIT_ASSERT(store_->list_calls_.back().consistency_ == Consistency::kLatest);
+    // A record that stays unreadable is not read again and again: each call is billed.
+    loop_->RunFor(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(lists + 1, count_lists());
+    // The next change is spoiled only in the response of the watch.
+    record.value_ = MakeConfiguration(9);
+    std::get<Configuration>(record.value_)
+        .routes_.push_back(MakeRoute("/new/", RequestKind::kSafe));
+    store_->Put(RecordKind::kConfiguration, {"main", 0, {}, "not a configuration", "spoiled"});
+    record.revision_ = store_->revision_;
+    record.problem_.clear();
+    store_->records_[RecordKind::kConfiguration]["main"] = record;
+    CPPUNIT_ASSERT(loop_->RunUntil([&] { return Call("/new/").status_ == 200; }));
+  }
+
   void StopWaitsForRequestsInFlight() {
     StartServing();
     SetBehaviour(Behaviour::kHoldsRequest);
