--- a/src/coordination/internal/configuration_exchange.cc
+++ b/src/coordination/internal/configuration_exchange.cc
@@ -182,7 +182,14 @@
 void CompareDigest(Step& step, const PeerMessage& message, const ConfigurationDigest& digest) {
   auto& exchange = step.node_.configuration_exchange_;
   const bool peer_has_none = digest.highest_version_ == 0;
-  if (peer_has_none || exchange.pull_) return;
+  if (peer_has_none) return;
+  // A host that did not answer once may be able to send but not to receive. Another one takes its
+  // place, so that the time until a change is in effect does not grow with the number of such
+  // hosts.
+  if (exchange.pull_ &&
+      (exchange.pull_->attempts_ <= 1 || exchange.pull_->peer_ == message.sender_)) {
+    return;
+  }
   const bool has = exchange.has_configuration_;
   if (has && IsEqual(digest, DigestOf(step.node_))) {
     exchange.last_matching_version_ =
--- a/src/coordination/tests/membership_test.cc
+++ b/src/coordination/tests/membership_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(RefutesSuspicionOfItself);
   CPPUNIT_TEST(OldIncarnationDoesNotReplaceNewOne);
   CPPUNIT_TEST(NumberOfUpdatesInAckIsLimited);
+  CPPUNIT_TEST(ConfigurationIsPulledFromAnotherHostIfOneDoesNotAnswer);
   CPPUNIT_TEST_SUITE_END();
 
   static MemberUpdate MakeUpdate(int host, Incarnation incarnation, std::uint32_t state_version,
@@ -87,6 +88,26 @@
     CPPUNIT_ASSERT_EQUAL(Incarnation{2}, FindMember(*host.node_, "m11")->incarnation_);
   }
 
+  // Guards against a change that is late because hosts that can send but not receive are asked for
+  // it one after the other, with all attempts for each.
+  void ConfigurationIsPulledFromAnotherHostIfOneDoesNotAnswer() {
+    NodeHarness host;
+    const ConfigurationDigest newer = {5, 17};
+    const auto count_pulls = [&host](const std::string& address) {
+      return std::count_if(host.sent_.begin(), host.sent_.end(), [&](const auto& message) {
+        return message.address_ == address && std::holds_alternative<ConfigPull>(message.body_);
+      });
+    };
+    host.ReceiveMessage("x", "10.0.9.8:1", Ping{1, newer, {}, ""});
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, count_pulls("10.0.9.8:1"));
+    host.ReceiveMessage("y", "10.0.9.9:1", Ping{1, newer, {}, ""});
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, count_pulls("10.0.9.9:1"));
+    host.RunFor(std::chrono::milliseconds(600));
+    host.ReceiveMessage("x", "10.0.9.8:1", Ping{2, newer, {}, ""});
+    host.ReceiveMessage("y", "10.0.9.9:1", Ping{2, newer, {}, ""});
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, count_pulls("10.0.9.9:1"));
+  }
+
   // Guards against messages whose size grows with the number of members.
   void NumberOfUpdatesInAckIsLimited() {
     NodeHarness host;
--- a/src/coordination/tests/node_harness.h
+++ b/src/coordination/tests/node_harness.h
@@ -25,6 +25,7 @@
 
   void RecordOutput(const NodeOutput& output) {
     for (const auto& request : output.platform_requests_) requests_.push_back(request);
+    for (const auto& message : output.peer_sends_) sent_.push_back(message);
     for (const auto& event : output.events_) events_.push_back(FormatKeyValues(event));
   }
   void RunFor(Duration duration) {
@@ -68,6 +69,7 @@
   NodePtr node_;
   std::vector<PlatformRequest> requests_;
   std::vector<std::string> events_;
+  std::vector<OutgoingPeerMessage> sent_;
 };
 
 }  // namespace monsoonshelf::coordination
