soak: targets that leave or ask for a pause, with checks of both

A request that a caller sent over 2 s after it got a response with the notice from that host must not reach the target from it; at most two may arrive during a pause, after half a second. Restarts, pauses and links of the host and faults of the target excuse.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -87,7 +87,7 @@
   }
   const bool non_idempotent = random_() % 2 == 0;
   id_ = name_ + "-" + std::to_string(++number_);
-  results_.sent_[id_] = non_idempotent;
+  results_.sent_[id_] = {non_idempotent, address_, Now()};
   counts_for_recovery_ = counting_recovery_;
   if (counts_for_recovery_) ++results_.sent_after_recovery_;
   const std::string body = non_idempotent ? std::string(random_() % 3000, 'b') : std::string();
@@ -130,6 +130,7 @@
     if (!has_signature_ || body_ != expected_body_)
       results_.violations_.push_back("wrong body or missing signature in the response to " + id_);
     ++results_.answered_;
+    results_.OnNoticeReceived(id_);
     if (counts_for_recovery_) ++results_.answered_after_recovery_;
   } else if (status_ == 503 || status_ == 429 || status_ == 408) {
     results_.refused_.push_back(id_);
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -270,6 +270,24 @@
     }
   }
 
+  void CheckTargetNotices(const std::map<std::string, const Host*>& hosts) {
+    std::map<std::string, const Target*> targets;
+    for (const auto& target : targets_) targets[target->Name()] = target.get();
+    const auto is_excused = [&](const GivenNotice& notice, Time until) {
+      const Host& host = *hosts.at(notice.host_);
+      // A process that stops is followed by another one, which knows nothing of the notice.
+      const auto& signals = host.Stops().signals_;
+      const bool is_restart = std::any_of(signals.begin(), signals.end(), [&](Time signal) {
+        return signal >= notice.given_at_ - host.Stops().grace_ && signal <= until;
+      });
+      return is_restart || host.Faults().Overlaps(notice.given_at_, until) ||
+             targets.at(notice.target_)->Faults().Overlaps(notice.given_at_ - seconds(1), until);
+    };
+    for (std::string& violation : CheckNotices(results_.notices_, results_.arrivals_, is_excused)) {
+      results_.violations_.push_back(std::move(violation));
+    }
+  }
+
   bool ReportResults() {
     for (const std::string& id : results_.refused_) {
       if (results_.executions_[id] > 0)
@@ -283,6 +301,7 @@
           CheckLoss(request, host.Faults(), host.Stops(), results_.work_[request.id_]);
       if (!loss.empty()) results_.violations_.push_back(loss);
     }
+    CheckTargetNotices(hosts);
     const bool recovered =
         results_.sent_after_recovery_ > 0 &&
         results_.answered_after_recovery_ >=
@@ -298,7 +317,8 @@
               << " faults=" << faults_ << " requests=" << results_.sent_.size()
               << " answered=" << results_.answered_ << " refused=" << results_.refused_.size()
               << " unknown=" << results_.unknown_ << " lost=" << results_.without_response_
-              << " abandoned=" << results_.abandoned_ << " hosts=" << hosts_.size()
+              << " notices=" << results_.notices_.size() << " abandoned=" << results_.abandoned_
+              << " hosts=" << hosts_.size()
               << " loop_gap_ms=" << std::chrono::duration_cast<milliseconds>(max_loop_gap_).count()
               << " violations=" << results_.violations_.size() << std::endl;
     return results_.violations_.empty();
--- a/tests/soak/persistent_caller.cc
+++ b/tests/soak/persistent_caller.cc
@@ -85,7 +85,7 @@
     const std::string request = http::FormatRequest(
         non_idempotent ? "POST" : "GET", path,
         {{"Host", "h"}, {"Attempt-Id", id}, {"Deadline-Ms", std::to_string(kDeadlineMs)}}, body);
-    caller_.results_.sent_[id] = non_idempotent;
+    caller_.results_.sent_[id] = {non_idempotent, caller_.host_.FrontAddress(), now};
     expected_body_ = ExpectedBody(path, body);
     parser_ = std::make_unique<http::ResponseParser>(false);
     body_.clear();
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -14,6 +14,10 @@
 constexpr std::size_t kSlots = 2;
 constexpr std::size_t kMaxQueue = 4;
 constexpr Duration kTimerInterval = std::chrono::milliseconds(2);
+// A target gives a notice for kNoticeTime, then none for one to three times kNormalTime.
+constexpr Duration kNormalTime = std::chrono::seconds(6);
+constexpr Duration kNoticeTime = std::chrono::seconds(3);
+constexpr int kPauseSeconds = 2;
 
 }  // namespace
 
@@ -41,6 +45,8 @@
       connections_(*this),
       random_(seed),
       start_time_ms_(WallMicroseconds() / 1000),
+      notice_random_(seed + 1),
+      next_notice_change_(Now() + kNormalTime * (seed % 3)),
       timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {
   auto listener = http::Listener::Open("127.0.0.1:0",
                                        [this](int descriptor) { connections_.Accept(descriptor); });
@@ -51,6 +57,7 @@
 }
 
 void Target::Register(bool draining) {
+  draining_ = draining;
   store_.Put(
       "servers", name_,
       {{"address", proxy_->GetAddress()},
@@ -77,6 +84,9 @@
 }
 
 void Target::EndFaults() {
+  gives_notices_ = false;
+  asks_for_pauses_ = false;
+  if (leaving_) StartAgain();
   SetMode(TargetMode::kHealthy);
   SetLinkState(LinkState::kHealthy);
   ResetConnections();
@@ -109,13 +119,27 @@
   }
   if (Now() > no_requests_after_)
     results_.violations_.push_back("request at " + name_ + " after it left service: " + *id);
+  const SentRequest& sent = results_.sent_[*id];
+  results_.arrivals_.push_back(
+      {*id, name_, incarnation_, sent.host_, sent.sent_at_, Now(), results_.stalled_});
   std::vector<TargetWork>& work = results_.work_[*id];
   work.push_back({&faults_, Now()});
   if (mode_ == TargetMode::kRefuses || running_.size() >= kSlots + kMaxQueue) {
     return connection->Respond(503, {{"Not-Executed", "1"}, {"Attempt-Id", *id}}, {});
   }
+  if (asks_for_pauses_ && notice_random_() % 2 == 0) {
+    // An idempotent request may have been cancelled, so that its host does not read the response.
+    if (sent.non_idempotent_) {
+      results_.notices_.push_back(MakeNotice(sent.host_, std::chrono::seconds(kPauseSeconds)));
+    }
+    return connection->Respond(503,
+                               {{"Not-Executed", "1"},
+                                {"Attempt-Id", *id},
+                                {"Retry-After", std::to_string(kPauseSeconds)}},
+                               {});
+  }
   const int executions = ++results_.executions_[*id];
-  if (executions > 1 && results_.sent_[*id])
+  if (executions > 1 && sent.non_idempotent_)
     results_.violations_.push_back("second execution of " + *id);
   if (mode_ == TargetMode::kResets) return connection->Abort();
   if (mode_ == TargetMode::kFails) {
@@ -141,6 +165,27 @@
                                  " " + std::string(reason));
 }
 
+GivenNotice Target::MakeNotice(const std::string& host, Duration pause) const {
+  return {name_, incarnation_, host, Now(), pause, results_.stalled_};
+}
+
+void Target::ChangeNotice(Time now) {
+  const bool had_notice = leaving_ || asks_for_pauses_;
+  if (leaving_) StartAgain();
+  asks_for_pauses_ = false;
+  if (!had_notice) (notice_random_() % 2 == 0 ? leaving_ : asks_for_pauses_) = true;
+  next_notice_change_ =
+      now + (had_notice ? kNormalTime * std::uniform_int_distribution<int>(1, 3)(notice_random_)
+                        : kNoticeTime);
+}
+
+void Target::StartAgain() {
+  leaving_ = false;
+  ++incarnation_;
+  ++start_time_ms_;
+  Register(draining_);
+}
+
 void Target::OnTimer() {
   const Time now = Now();
   std::vector<RunningRequest> due;
@@ -154,9 +199,14 @@
   }
   for (const RunningRequest& request : due) {
     results_.work_[request.id_][request.work_].end_ = now;
-    request.connection_->Respond(200, {{"Attempt-Id", request.id_}, {"Server-Signature", name_}},
-                                 request.body_);
+    http::Headers headers = {{"Attempt-Id", request.id_}, {"Server-Signature", name_}};
+    if (leaving_) {
+      headers.emplace_back("Server-Leaving", "1");
+      results_.pending_notices_[request.id_] = MakeNotice(results_.sent_[request.id_].host_, {});
+    }
+    request.connection_->Respond(200, headers, request.body_);
   }
+  if (gives_notices_ && now >= next_notice_change_) ChangeNotice(now);
   timer_.Set(now + kTimerInterval);
 }
 
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -4,22 +4,35 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "eventloop/timer.h"
 #include "http/listener.h"
 #include "http/server_connection.h"
 #include "tests/soak/loss_check.h"
+#include "tests/soak/notice_check.h"
 #include "tests/soak/store.h"
 #include "tests/soak/tcp_proxy.h"
 
 namespace monsoonshelf::soak {
 
+struct SentRequest {
+  bool non_idempotent_ = false;
+  std::string host_;  // Front address.
+  Time sent_at_{};
+};
+
 // What the targets and callers of a run observed; evaluated at the end.
 struct SoakResults {
-  std::map<std::string, int> executions_;  // By attempt identifier.
-  // By attempt identifier; true if the request is not idempotent.
-  std::map<std::string, bool> sent_;
+  std::map<std::string, int> executions_;    // By attempt identifier.
+  std::map<std::string, SentRequest> sent_;  // By attempt identifier.
+  // By attempt identifier: the notice in the response of a target. It counts as given when the
+  // caller has the response.
+  std::map<std::string, GivenNotice> pending_notices_;
+  std::vector<GivenNotice> notices_;
+  std::vector<Arrival> arrivals_;
   // By attempt identifier: each arrival at a target.
   std::map<std::string, std::vector<TargetWork>> work_;
   std::vector<LostRequest> lost_;
@@ -28,6 +41,16 @@
   Duration stalled_{};
   std::vector<std::string> refused_;  // Attempts answered as not executed.
   std::vector<std::string> violations_;
+  // The caller has received the whole response to this attempt.
+  void OnNoticeReceived(const std::string& id) {
+    const auto found = pending_notices_.find(id);
+    if (found == pending_notices_.end()) return;
+    notices_.push_back(std::move(found->second));
+    notices_.back().given_at_ = Now();
+    notices_.back().stalled_before_ = stalled_;
+    pending_notices_.erase(found);
+  }
+
   int answered_ = 0;
   int unknown_ = 0;
   int abandoned_ = 0;         // The caller closed the connection in the middle of a response.
@@ -59,6 +82,7 @@
   void EndFaults();
   const std::string& Name() const { return name_; }
   const std::string& Zone() const { return zone_; }
+  const FaultTimes& Faults() const { return faults_; }
   // A request that arrives after `time` is a violation; Time::max() if requests may always arrive.
   void SetNoRequestsAfter(Time time) { no_requests_after_ = time; }
 
@@ -76,6 +100,10 @@
   void OnRejected(int status, std::string_view reason) override;
   void OnTimer();
   void UpdateFaultTimes();
+  // Leaves and starts again, or asks for pauses, at random times.
+  void ChangeNotice(Time now);
+  void StartAgain();
+  GivenNotice MakeNotice(const std::string& host, Duration pause) const;
 
   std::string name_;
   std::string zone_;
@@ -91,6 +119,14 @@
   std::vector<RunningRequest> running_;
   std::mt19937_64 random_;
   std::int64_t start_time_ms_;
+  // Apart from random_, so that the schedule of a seed stays the same.
+  std::mt19937_64 notice_random_;
+  bool draining_ = false;  // In its registration.
+  bool gives_notices_ = true;
+  bool leaving_ = false;
+  bool asks_for_pauses_ = false;
+  Time next_notice_change_{};
+  int incarnation_ = 1;
   eventloop::Timer timer_;
 };
 
