--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -50,6 +50,7 @@
 // Timeout of the first probe, and interval between it and the second one: a lost connection must
 // not use up the time in which a change has to take effect.
 constexpr Duration kFirstProbeTimeout = std::chrono::milliseconds(300);
+// Interval at which old content is checked while a probe is awaited.
 constexpr Duration kMinContentCheckInterval = std::chrono::milliseconds(50);
 // Confirmations that follow each other faster are passed on together. Also ends the exchange
 // between two hosts that follow each other for a moment.
@@ -217,7 +218,7 @@
     // A read that is in progress ends by its own timeout.
     if (source_.empty()) return;
     reaches_store_ = false;
-    if (HasReaderLostStore(ContentAge(now), now - source_since_)) LeaveReader("content_age", now);
+    if (HasReaderLostStore(ContentAge(now), now - source_since_)) LeaveReader(now);
     return;
   }
   const bool was_rejected = !std::exchange(reaches_store_, true);
@@ -228,7 +229,7 @@
     // A pending watch may wait on a dead connection.
     if (was_rejected || is_content_old) ReadStore();
   } else if (is_content_old) {
-    LeaveReader("content_age", now);
+    LeaveReader(now);
   }
 }
 
@@ -248,14 +249,14 @@
   content_age_timer_.Set(std::max(NextProbeTime(now), now + kMinContentCheckInterval));
 }
 
-void StoreSync::LeaveReader(std::string_view cause, Time now) {
+void StoreSync::LeaveReader(Time now) {
   avoided_sources_[source_] = now + kFailedSourceBackoff;
   if (reaches_store_) {
     // Which of the other hosts reach the store is known again after this time.
     read_store_until_ = now + kDirectReadTime;
-    return UseSource({}, cause, now);
+    return UseSource({}, "content_age", now);
   }
-  UseSource(BestSource(now), cause, now);
+  UseSource(BestSource(now), "content_age", now);
 }
 
 std::string StoreSync::SinceLastOwnCall(Time now) const {
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -60,11 +60,12 @@
   void ProbeStore(Time now);
   void OnProbeEnded(StoreStatus status, Time now);
   Time NextProbeTime(Time now) const;
-  // Reads the store itself for some time, or tries the next reader, if the content is too old.
+  // Probes the store if the content is too old.
   void CheckContentAge(Time now);
   // Age of the content. A host that has just started is given time to find its reader.
   Duration ContentAge(Time now) const;
-  void LeaveReader(std::string_view cause, Time now);
+  // Reads the store, or from the next reader if the store rejects this host.
+  void LeaveReader(Time now);
   void RestartTargetAndEvacuationFeeds();
   // Logs when the content becomes older than a change may take to come into effect, and when it is
   // confirmed again.
