entry: one streamed response does not keep a data task from its other events

Stack traces show the data task in libsoup's write callback, which writes chunks until there is none, while DataTask::Stop waits for its message. The chunk that was written asked for the next one in the same call when the target's connection belongs to the same task; a target that sends fast enough always had one, so the callback never returned. Callers on that task were not served, and a host could not stop, for as long as such a response lasted.

The next chunk is requested by a message, so that the main loop runs in between.

--- a/src/entry/internal/data_task.cc
+++ b/src/entry/internal/data_task.cc
@@ -179,7 +179,9 @@
 }
 
 void DataTask::ReadChunk(SendId send) {
-  RunOrPostIfOpen([this, send] { relay_->ReadChunk(send); });
+  // Never run at once: libsoup writes chunks until there is none, so that a target that is fast
+  // enough would keep the main loop from all other events.
+  PostIfOpen([this, send] { relay_->ReadChunk(send); });
 }
 
 void DataTask::StartProbe(const ShardKey& shard, const std::string& target,
