gateway: log calls to the store, and records that differ from those of the source

The logs could not show whether a host holds what its source holds, and of the calls to the store only those that change the source. Responses with records now describe the content of the host for each kind (header Records-Digests, a sum of hashes that is kept as records change). A follower compares it with its own content and logs records_differ; nothing else depends on it yet. Each host logs its calls to the store once a second (store_calls), so that the calls of a zone can be summed.

--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -45,6 +45,8 @@
         content_overdue_(Counter("monsoonshelf_gateway_content_overdue_total",
                                  "Times in which the content was older than a change may take",
                                  labels)),
+        differing_records_(Counter("monsoonshelf_gateway_differing_records_total",
+                                   "Responses of another host that holds other records", labels)),
         source_changes_(Counter("monsoonshelf_gateway_source_changes_total",
                                 "Changes of the source of the records by cause", labels)),
         total_(Histogram("monsoonshelf_gateway_request_seconds", "From request to answer", labels)),
@@ -75,6 +77,7 @@
   CounterFamily& target_notices_;
   CounterFamily& unreadable_records_;
   CounterFamily& content_overdue_;
+  CounterFamily& differing_records_;
   CounterFamily& source_changes_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
@@ -134,6 +137,10 @@
 
 void GatewayMetrics::CountContentOverdue() { families_->content_overdue_.Add({}).Increment(); }
 
+void GatewayMetrics::CountDifferingRecords(std::string_view kind) {
+  families_->differing_records_.Add({{"kind", ToString(kind)}}).Increment();
+}
+
 void GatewayMetrics::CountSourceChange(std::string_view cause) {
   families_->source_changes_.Add({{"cause", ToString(cause)}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -29,6 +29,8 @@
   void CountUnreadableRecord(std::string_view kind);
   // Counts a time in which the content was confirmed longer ago than a change may take.
   void CountContentOverdue();
+  // Counts a response of another host after which this host holds other records than that one.
+  void CountDifferingRecords(std::string_view kind);
   // Counts a change of the source that the records are read from. `cause` is the one in its log
   // line `source_chosen`.
   void CountSourceChange(std::string_view cause);
--- a/src/gateway/internal/record_cache.cc
+++ b/src/gateway/internal/record_cache.cc
@@ -1,5 +1,7 @@
 #include "gateway/record_cache.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -17,8 +19,31 @@
   cache.changes_.pop_front();
 }
 
+ContentDigest DigestOf(const StoredRecord& record) {
+  return XXH3_64bits(record.text_.data(), record.text_.size());
+}
+
+void StoreRecord(RecordCache& cache, const StoredRecord& record) {
+  const auto [stored, is_new] = cache.records_.try_emplace(record.name_);
+  if (!is_new) cache.digest_ -= DigestOf(stored->second);
+  stored->second = record;
+  cache.digest_ += DigestOf(record);
+}
+
+// Returns the position of the next record.
+std::map<std::string, StoredRecord>::iterator EraseRecord(
+    RecordCache& cache, std::map<std::string, StoredRecord>::iterator record) {
+  cache.digest_ -= DigestOf(record->second);
+  return cache.records_.erase(record);
+}
+
 }  // namespace
 
+bool HasContent(const RecordCache& cache, RecordKind kind, const ContentDigests& digests) {
+  const auto found = digests.find(kind);
+  return found == digests.end() || found->second == cache.digest_;
+}
+
 void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records,
                     Revision revision) {
   const bool first = cache.revision_ == 0;
@@ -30,7 +55,7 @@
         found->second.text_ == record.text_) {
       continue;
     }
-    cache.records_[record.name_] = record;
+    StoreRecord(cache, record);
     if (!first) AddChange(cache, revision, record.name_, false);
   }
   for (auto record = cache.records_.begin(); record != cache.records_.end();) {
@@ -39,7 +64,7 @@
       continue;
     }
     AddChange(cache, revision, record->first, true);
-    record = cache.records_.erase(record);
+    record = EraseRecord(cache, record);
   }
   cache.revision_ = std::max(cache.revision_, revision);
   if (first) cache.history_begin_ = revision;
@@ -49,9 +74,10 @@
   for (const StoreEvent& event : events) {
     const std::string& name = event.record_.name_;
     if (event.deleted_) {
-      cache.records_.erase(name);
+      const auto found = cache.records_.find(name);
+      if (found != cache.records_.end()) EraseRecord(cache, found);
     } else {
-      cache.records_[name] = event.record_;
+      StoreRecord(cache, event.record_);
     }
     AddChange(cache, std::max(revision, cache.revision_), name, event.deleted_);
   }
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -1,6 +1,7 @@
 #include "gateway/internal/record_exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -21,6 +22,8 @@
 constexpr std::string_view kAgeHeader = "Content-Age-Ms";
 // Time that the request waited for changes, in milliseconds.
 constexpr std::string_view kHeldHeader = "Held-Ms";
+// Digests of the content of the host, by kind: `configuration=HEX,target=HEX`.
+constexpr std::string_view kDigestsHeader = "Records-Digests";
 // Limits the list of all records of a kind. The store accepts values of up to one megabyte.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 20;
 constexpr int kHistoryGoneStatus = 410;
@@ -78,6 +81,41 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
+std::string FormatDigests(const RecordCaches& caches) {
+  constexpr int kHexadecimal = 16;
+  std::string text;
+  for (const auto& [kind, cache] : caches) {
+    if (cache.revision_ == 0) continue;
+    std::array<char, 17> digits{};
+    const auto end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), cache.digest_, kHexadecimal)
+            .ptr;
+    if (!text.empty()) text += ',';
+    text.append(NameOf(kRecordKindNames, kind)).append("=").append(digits.data(), end);
+  }
+  return text;
+}
+
+// Leaves out what cannot be read: hosts of another version may know other kinds.
+ContentDigests ParseDigests(const http::Headers& headers) {
+  constexpr int kHexadecimal = 16;
+  ContentDigests digests;
+  const std::string* text = http::FindHeader(headers, kDigestsHeader);
+  std::string_view rest = text == nullptr ? std::string_view() : *text;
+  while (!rest.empty()) {
+    const std::string_view part = rest.substr(0, rest.find(','));
+    rest.remove_prefix(std::min(part.size() + 1, rest.size()));
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto kind = ValueOf(kRecordKindNames, part.substr(0, equals));
+    ContentDigest digest = 0;
+    const char* end = part.data() + part.size();
+    const auto parsed = std::from_chars(part.data() + equals + 1, end, digest, kHexadecimal);
+    if (kind && parsed.ec == std::errc() && parsed.ptr == end) digests[*kind] = digest;
+  }
+  return digests;
+}
+
 // Returns std::nullopt if the response does not have the format of a RecordServer.
 std::optional<StoreEvents> DecodeEvents(RecordKind kind, const http::CallResult& result,
                                         const IRecordFormat& format) {
@@ -100,6 +138,7 @@
     if (!json.at("revision").is_number_integer()) return std::nullopt;
     events.revision_ = json.at("revision").get<Revision>();
     events.age_ = *age;
+    events.digests_ = ParseDigests(result.headers_);
     events.status_ = StoreStatus::kOk;
     return events;
   } catch (const Json::exception&) {
@@ -195,7 +234,8 @@
   request.connection_->Respond(200,
                                {{"Content-Type", "application/octet-stream"},
                                 {std::string(kAgeHeader), std::to_string(age)},
-                                {std::string(kHeldHeader), std::to_string(held)}},
+                                {std::string(kHeldHeader), std::to_string(held)},
+                                {std::string(kDigestsHeader), FormatDigests(caches_)}},
                                body);
 }
 
@@ -267,6 +307,7 @@
                  page.status_ = events.status_;
                  page.revision_ = events.revision_;
                  page.age_ = events.age_;
+                 page.digests_ = std::move(events.digests_);
                  for (StoreEvent& event : events.events_) {
                    page.records_.push_back(std::move(event.record_));
                  }
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -84,6 +84,7 @@
     handler_.on_snapshot_(listed_records_, revision_);
   }
   listed_records_.clear();
+  ReportDigests(page.digests_);
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
@@ -135,9 +136,14 @@
   timer_.Set(Now() + settings_.watch_pause_);
   revision_ = std::max(revision_, events.revision_);
   if (!events.events_.empty()) handler_.on_events_(events.events_, revision_);
+  ReportDigests(events.digests_);
   handler_.on_status_(StoreStatus::kOk);
 }
 
+void RecordFeed::ReportDigests(const ContentDigests& digests) {
+  if (!digests.empty() && handler_.on_digests_ != nullptr) handler_.on_digests_(digests);
+}
+
 void RecordFeed::ScheduleRetry() {
   is_next_watch_short_ = true;
   timer_.Set(Now() + retry_delay_);
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -66,6 +66,7 @@
 // A change may be in effect this long after its acknowledgement at the latest. Content that was
 // confirmed longer ago may lack a change that is overdue.
 constexpr Duration kMaxChangeDelay = std::chrono::seconds(2);
+constexpr Duration kStoreCallReportInterval = std::chrono::seconds(1);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kRegistrationRetryInterval = std::chrono::milliseconds(700);
 // The second list follows soon: the first one misses hosts that started at the same time.
@@ -103,7 +104,8 @@
           [this, kind](const std::vector<StoreEvent>& events, Revision revision) {
             OnEvents(kind, events, revision);
           },
-          [this, kind](StoreStatus status) { OnStatus(kind, status); }};
+          [this, kind](StoreStatus status) { OnStatus(kind, status); },
+          [this, kind](const ContentDigests& digests) { return OnDigests(kind, digests); }};
 }
 
 void StoreSync::Start() {
@@ -126,6 +128,7 @@
 void StoreSync::OnTick(const ZoneReaders& zone, Time now) {
   replaced_peer_stores_.clear();
   ReportContentAge(now);
+  ReportStoreCalls(now);
   if (!is_registered_ && now >= next_registration_) RegisterHost();
   if (now >= next_host_list_) {
     next_host_list_ = now + (hosts_.empty() ? kSecondHostListInterval : kHostListInterval);
@@ -384,6 +387,29 @@
   if (is_overdue) state_.metrics_.CountContentOverdue();
 }
 
+void StoreSync::ReportStoreCalls(Time now) {
+  if (now - store_calls_reported_at_ < kStoreCallReportInterval) return;
+  store_calls_reported_at_ = now;
+  const StoreCallCounts counts = store_.TakeCounts();
+  if (counts.lists_ + counts.stale_lists_ + counts.watches_ + counts.writes_ == 0) return;
+  logging::LogEvent(logging::LogLevel::kInfo, "store_calls",
+                    {{"lists", std::to_string(counts.lists_)},
+                     {"stale_lists", std::to_string(counts.stale_lists_)},
+                     {"watches", std::to_string(counts.watches_)},
+                     {"writes", std::to_string(counts.writes_)}});
+}
+
+bool StoreSync::OnDigests(RecordKind kind, const ContentDigests& digests) {
+  if (HasContent(caches_[kind], kind, digests)) return true;
+  logging::LogEvent(logging::LogLevel::kWarning, "records_differ",
+                    {{"kind", KindName(kind)},
+                     {"source", source_.empty() ? "store" : source_},
+                     {"revision", std::to_string(caches_[kind].revision_)},
+                     {"count", std::to_string(caches_[kind].records_.size())}});
+  state_.metrics_.CountDifferingRecords(KindName(kind));
+  return false;
+}
+
 void StoreSync::RestartTargetAndEvacuationFeeds() {
   target_feed_.Restart();
   evacuation_feed_.Restart();
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "eventloop/timer.h"
+#include "gateway/internal/counted_store.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/record_exchange.h"
 #include "gateway/reader_choice.h"
@@ -54,6 +55,10 @@
   void OnSnapshot(RecordKind kind, const std::vector<StoredRecord>& records, Revision revision);
   void OnEvents(RecordKind kind, const std::vector<StoreEvent>& events, Revision revision);
   void OnStatus(RecordKind kind, StoreStatus status);
+  // Returns whether this host has the content of its source.
+  bool OnDigests(RecordKind kind, const ContentDigests& digests);
+  // Logs the calls to the store of the last second.
+  void ReportStoreCalls(Time now);
   void ReportUnreadableRecord(RecordKind kind, const StoredRecord& record);
   void PutRecord(RecordKind kind, const StoredRecord& record);
   void DeleteRecord(RecordKind kind, const std::string& name);
@@ -104,7 +109,7 @@
   void OnOwnHostRecord(const HostRecord& record, Revision revision);
   void ListHosts(const std::string& after);
 
-  IRecordStore& store_;
+  CountedStore store_;
   const IRecordFormat& format_;
   GatewayState& state_;
   OnChange on_change_;
@@ -134,6 +139,7 @@
   int unconfirmed_source_changes_ = 0;
   Time confirmed_at_last_change_{};
   bool is_content_overdue_ = false;
+  Time store_calls_reported_at_{};
   Time last_own_call_{};  // Zero before the first one ended.
   bool reaches_store_ = true;
   bool is_probe_pending_ = false;
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,10 @@
 // old.
 enum class Consistency { kLatest, kStale };
 
+// Identifies the content of the records of one kind; see RecordCache.
+using ContentDigest = std::uint64_t;
+using ContentDigests = std::map<RecordKind, ContentDigest>;
+
 struct StorePage {
   StoreStatus status_ = StoreStatus::kUnreachable;
   std::vector<StoredRecord> records_;
@@ -43,6 +49,8 @@
   Duration age_{};
   // The result of a kStale read of the store, which may lack changes of the last seconds.
   bool is_stale_ = false;
+  // Content of the host that passed the page on; empty if the page comes from the store itself.
+  ContentDigests digests_;
 };
 
 struct StoreEvent {
@@ -53,8 +61,9 @@
 struct StoreEvents {
   StoreStatus status_ = StoreStatus::kUnreachable;
   std::vector<StoreEvent> events_;
-  Revision revision_ = 0;  // Revision to continue the watch from.
-  Duration age_{};         // As in StorePage.
+  Revision revision_ = 0;   // Revision to continue the watch from.
+  Duration age_{};          // As in StorePage.
+  ContentDigests digests_;  // As in StorePage.
 };
 
 struct StoreWrite {
--- a/src/gateway/record_cache.h
+++ b/src/gateway/record_cache.h
@@ -23,8 +23,13 @@
   std::deque<Change> changes_;
   Revision revision_ = 0;       // Store revision of the content; 0 before the first list.
   Revision history_begin_ = 0;  // `changes_` has all changes after this revision.
+  // Sum of the hashes of all texts. Hosts that hold the same records have the same digest.
+  ContentDigest digest_ = 0;
 };
 
+// Returns whether the cache has the content that a response of another host describes. A response
+// of the store, or of a host of an earlier version, describes none.
+bool HasContent(const RecordCache& cache, RecordKind kind, const ContentDigests& digests);
 // Replaces the content. Only the differences are added to the history.
 void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records,
                     Revision revision);
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -40,6 +40,9 @@
     std::function<void(const std::vector<StoreEvent>&, Revision)> on_events_;
     // Receives the result of each call, after ConfirmedAt() was updated.
     std::function<void(StoreStatus)> on_status_;
+    // Receives what another host holds, after its response was applied, and returns whether this
+    // host holds the same records. May be empty.
+    std::function<bool(const ContentDigests&)> on_digests_;
   };
 
   RecordFeed(RecordKind kind, Handler handler);
@@ -66,6 +69,7 @@
   void OnEvents(const StoreEvents& events);
   void ScheduleRetry();
   void ListOrWatch();
+  void ReportDigests(const ContentDigests& digests);
 
   IRecordStore* store_ = nullptr;
   RecordKind kind_;
--- /dev/null
+++ b/src/gateway/store_gate.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+#include "base/base_types.h"
+
+namespace monsoonshelf::gateway {
+
+// Decides when a host that has no source, or whose source no longer confirms its content, reads the
+// store. All hosts of an availability zone see the loss of their reader, and the return of the
+// store, at the same moment; each of them waits for its turn by its rank, so that the number of
+// hosts that read the store does not grow with the zone. A host that finds a reader meanwhile gives
+// its turn up. Pure logic: the caller makes the calls and passes the time in.
+struct StoreGate {
+  enum class State {
+    kClosed,   // The store is not needed, or is being read.
+    kSeeking,  // The store is probed at `next_at_`.
+    kServed,   // A probe succeeded; the store is read at `next_at_`.
+  };
+  State state_ = State::kClosed;
+  std::string_view cause_;  // Of the request, for the log.
+  Time next_at_{};
+  int failed_probes_ = 0;  // Since the request.
+};
+
+enum class GateAction { kNone, kProbe, kRead };
+
+// Asks for a turn. `higher_ranked` is the number of live hosts of the zone that rank higher than this
+// one. Has no effect if a turn was requested before.
+void RequestTurn(StoreGate& gate, std::string_view cause, std::size_t higher_ranked, Time now);
+// Ends the request: a source confirms the content again, or the store is being read.
+void CloseGate(StoreGate& gate);
+// Returns what is due. After kProbe, the next probe is due one interval later, whether or not this
+// one has ended: a lost packet must not delay the next one.
+GateAction TakeAction(StoreGate& gate, std::size_t higher_ranked, Time now);
+// Applies the result of a probe.
+void ApplyProbeResult(StoreGate& gate, bool is_served, std::size_t higher_ranked, Time now);
+
+// Returns how long a host waits for its turn.
+Duration TurnDelay(std::size_t higher_ranked);
+// Returns the interval between two probes. Only few hosts have to notice the return of the store at
+// once; the others get its changes from them.
+Duration ProbeInterval(std::size_t higher_ranked);
+
+}  // namespace monsoonshelf::gateway
