gateway: failing tests of changes after disturbances

The store of the tests can compact its history, lose or reset pending calls, and keeps the time of each read.

--- a/src/gateway/tests/large_zone_test.cc
+++ b/src/gateway/tests/large_zone_test.cc
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "eventloop/timer.h"
+#include "gateway/reader_choice.h"
 #include "gateway/tests/mocks/gateway_zone.h"
 
 namespace monsoonshelf::gateway {
@@ -25,6 +27,11 @@
 constexpr std::size_t kZoneHosts = 50;
 // Hosts that may read the store at the same time, whatever the size of the zone.
 constexpr std::size_t kMaxDirectReaders = 12;
+// Linearizable lists and watches of a zone in one second: of each of these hosts two for each of
+// the three kinds.
+constexpr std::size_t kMaxReadsPerSecond = kMaxDirectReaders * 6;
+// For this time after a disturbance has ended, no bound holds for the hosts that it affected.
+constexpr Duration kSettlingTime = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -35,6 +42,11 @@
   CPPUNIT_TEST(LostReaderMakesFewHostsReadTheStore);
   CPPUNIT_TEST(KilledReaderMakesFewHostsReadTheStore);
   CPPUNIT_TEST(ReturnOfTheStoreMakesFewHostsReadIt);
+  CPPUNIT_TEST(StartOfAllHostsMakesFewReadTheStore);
+  CPPUNIT_TEST(ShortOutageMakesFewHostsReadTheStore);
+  CPPUNIT_TEST(CompactionMakesFewHostsReadTheStore);
+  CPPUNIT_TEST(ResetWatchesKeepTheReader);
+  CPPUNIT_TEST(HostOfLowRankReturnsInTimeDespiteLostCalls);
   CPPUNIT_TEST(RejectedHostsFindAHostThatTheStoreServes);
   CPPUNIT_TEST(HostsWithoutResponsesFindAHostThatTheStoreServes);
   CPPUNIT_TEST_SUITE_END();
@@ -77,6 +89,76 @@
     ExpectFewReaders();
   }
 
+  // Guards against hosts that all read the store after a common start, before they know a reader.
+  void StartOfAllHostsMakesFewReadTheStore() {
+    reads_.assign(zone_->hosts_.size(), 0);
+    counted_since_ = Time{};
+    ExpectFewReaders();
+  }
+
+  // Guards against followers whose first call to the store is pending when an outage ends: it
+  // succeeds on all of them at once.
+  void ShortOutageMakesFewHostsReadTheStore() {
+    RunUntilContentHasAged();
+    CountReads();
+    for (const auto& host : zone_->hosts_) host->view_.SetAccess(Access::kSilent);
+    zone_->loop_.RunFor(milliseconds(650));
+    for (const auto& host : zone_->hosts_) host->view_.SetAccess(Access::kServed);
+    ExpectChangeInTime({});
+    ExpectFewReaders();
+  }
+
+  // Guards against followers that all read the store because their reader hears nothing from its
+  // watches while the store compacts its history. Stale reads succeed all the time.
+  void CompactionMakesFewHostsReadTheStore() {
+    constexpr milliseconds kSilence{1000};
+    RunUntilContentHasAged();
+    CountReads();
+    zone_->store_.BeginCompaction();
+    eventloop::Timer end(g_main_context_get_thread_default(),
+                         [this] { zone_->store_.EndCompaction(); });
+    end.Set(Now() + kSilence);
+    ExpectChangeInTime({});
+    zone_->loop_.RunFor(kSilence);
+    ExpectChangeInTime({});
+    ExpectFewReaders();
+  }
+
+  // Guards against a reader that gives up its role, and against a zone that looks for another one,
+  // after a single reset of its connections to the store.
+  void ResetWatchesKeepTheReader() {
+    constexpr std::size_t kMaxReaders = 2;
+    CountReads();
+    for (const auto& host : zone_->hosts_) host->view_.ResetPendingCalls();
+    ExpectChangeInTime({});
+    zone_->loop_.RunFor(milliseconds(1500));
+    ExpectFewReaders(kMaxReaders);
+  }
+
+  // Guards against waits that add up on the way back: a call that was pending at the end of a
+  // rejection, a lost one after it, the interval between two calls, and the wait by rank.
+  void HostOfLowRankReturnsInTimeDespiteLostCalls() {
+    constexpr int kLostCalls = 1;
+    for (const auto& host : zone_->hosts_) host->view_.SetAccess(Access::kSilent);
+    zone_->loop_.RunFor(milliseconds(4000));
+    GatewayZone::Host& last = **std::min_element(
+        zone_->hosts_.begin(), zone_->hosts_.end(), [](const auto& left, const auto& right) {
+          return ReaderRank(left->settings_.name_, left->settings_.capacity_) <
+                 ReaderRank(right->settings_.name_, right->settings_.capacity_);
+        });
+    const int calls = last.view_.calls_;
+    CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return last.view_.calls_ > calls; }));
+    zone_->PutVersion();
+    last.view_.LosePendingCalls();
+    last.view_.calls_to_lose_ = kLostCalls;
+    last.view_.SetAccess(Access::kServed);
+    const Time ended_at = Now();
+    CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return zone_->HasVersion(last); }));
+    const auto delay = std::chrono::duration_cast<milliseconds>(Now() - ended_at);
+    CPPUNIT_ASSERT_MESSAGE("in effect " + std::to_string(delay.count()) + " ms after the end",
+                           delay <= kSettlingTime);
+  }
+
   // Guards against hosts without a source because the peers that they ping have none, while other
   // hosts of their zone read the store.
   void RejectedHostsFindAHostThatTheStoreServes() {
@@ -96,6 +178,15 @@
     return static_cast<std::size_t>(reader - zone_->hosts_.begin());
   }
 
+  // Runs until most of the time between two confirmations of the reader has passed.
+  void RunUntilContentHasAged() {
+    const GatewayZone::Host& reader = *zone_->hosts_[ReaderIndex()];
+    const int reads = reader.view_.reads_;
+    CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return reader.view_.reads_ > reads; }));
+    zone_->loop_.RunFor(std::chrono::duration_cast<milliseconds>(kConfirmationWait) -
+                        milliseconds(100));
+  }
+
   void ExpectChangeInTimeIfMostHostsGet(Access access) {
     constexpr std::size_t kRejectedHosts = 40;
     for (std::size_t i = 0; i < kRejectedHosts; ++i) zone_->hosts_[i]->view_.SetAccess(access);
@@ -125,22 +216,41 @@
   }
 
   void CountReads() {
+    counted_since_ = Now();
     reads_.clear();
     for (const auto& host : zone_->hosts_) reads_.push_back(host->view_.reads_);
   }
 
-  // Expects that few hosts have read the store since CountReads.
-  void ExpectFewReaders() {
+  // Expects that few hosts have read the store since CountReads, and not too often in any second.
+  void ExpectFewReaders(std::size_t max_readers = kMaxDirectReaders) {
     std::size_t readers = 0;
     for (std::size_t i = 0; i < zone_->hosts_.size(); ++i) {
       if (zone_->hosts_[i]->view_.reads_ > reads_[i]) ++readers;
     }
     CPPUNIT_ASSERT_MESSAGE(std::to_string(readers) + " hosts have read the store",
-                           readers <= kMaxDirectReaders);
+                           readers <= max_readers);
+    const std::size_t most = MostReadsPerSecond();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " reads of the zone in one second",
+                           most <= kMaxReadsPerSecond);
+  }
+
+  std::size_t MostReadsPerSecond() const {
+    std::size_t most = 0;
+    const auto& reads = zone_->store_.reads_;
+    for (auto first = reads.begin(), last = reads.begin(); last != reads.end(); ++last) {
+      if (last->at_ < counted_since_) {
+        first = last + 1;
+        continue;
+      }
+      while (last->at_ - first->at_ > std::chrono::seconds(1)) ++first;
+      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
   }
 
   std::unique_ptr<GatewayZone> zone_;
   std::vector<int> reads_;
+  Time counted_since_{};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeZoneTest);
--- a/src/gateway/tests/mocks/gateway_zone.h
+++ b/src/gateway/tests/mocks/gateway_zone.h
@@ -47,8 +47,17 @@
     SharedStore::View& view_;
     std::unique_ptr<Gateway> gateway_;
     std::unique_ptr<http::HttpClient> client_;
+    Incarnation incarnation_ = 1;
   };
 
+  // Ends a process without notice and starts it again.
+  void Restart(Host& host) {
+    host.gateway_.reset();
+    ++host.incarnation_;
+    OpenGateway(host);
+    CPPUNIT_ASSERT(host.gateway_ != nullptr);
+  }
+
   // Starts one host for each capacity, and waits until all of them serve and know their reader.
   void Start(const std::vector<int>& capacities) {
     PutVersion();
@@ -109,9 +118,7 @@
         *address =
             http::Listener::Open("127.0.0.1:0", [](int /*descriptor*/) {}).value()->LocalAddress();
       }
-      auto started = Capture<std::unique_ptr<Gateway>>(
-          [&] { return StartGateway(host.settings_, format_, record_format_, host.view_, 1, 42); });
-      if (started.value_) host.gateway_ = std::move(*started.value_);
+      const auto started = OpenGateway(host);
       const bool is_port_taken = started.error_.code_ == ResultCode::kListenFailed ||
                                  started.error_.code_ == ResultCode::kPeerSocket;
       CPPUNIT_ASSERT_MESSAGE(started.error_.message_,
@@ -121,6 +128,15 @@
                                                       http::StreamOptions{}, 8);
   }
 
+  ValueOrError<std::unique_ptr<Gateway>> OpenGateway(Host& host) {
+    auto started = Capture<std::unique_ptr<Gateway>>([&] {
+      return StartGateway(host.settings_, format_, record_format_, host.view_, host.incarnation_,
+                          42);
+    });
+    if (started.value_) host.gateway_ = std::move(*started.value_);
+    return started;
+  }
+
   std::string FormatCall() {
     return "GET /v" + std::to_string(version_) +
            "/x HTTP/1.1\r\nHost: h\r\nId: " + std::to_string(++next_id_) + "\r\n\r\n";
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -31,6 +31,17 @@
     explicit View(SharedStore& store)
         : store_(store), timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
 
+    // Calls that are pending get no response, as on connections that died.
+    void LosePendingCalls() {
+      for (PendingCall& call : pending_) call.is_lost_ = true;
+      SetTimer();
+    }
+    // Pending calls fail at once, as on connections that were reset.
+    void ResetPendingCalls() {
+      for (PendingCall& call : pending_) call.is_reset_ = true;
+      SetTimer();
+    }
+
     void SetAccess(Access access) {
       access_ = access;
       if (access == Access::kReset) {
@@ -42,7 +53,7 @@
     void List(RecordKind kind, const std::string& /*after*/, Consistency consistency,
               Duration timeout, PageCallback callback) override {
       ++calls_;
-      if (consistency == Consistency::kLatest) ++reads_;
+      if (consistency == Consistency::kLatest) CountRead();
       Add(kind, -1, Duration(0), timeout, [this, kind, consistency, callback](StoreStatus status) {
         StorePage page;
         page.status_ = status;
@@ -57,12 +68,14 @@
     void Watch(RecordKind kind, Revision revision, Duration wait, Duration timeout,
                EventsCallback callback) override {
       ++calls_;
-      ++reads_;
+      CountRead();
       pending_.remove_if([kind](const PendingCall& call) { return call.Watches(kind); });
       Add(kind, revision, wait, timeout, [this, kind, revision, callback](StoreStatus status) {
         StoreEvents events;
         events.status_ = status;
-        if (status == StoreStatus::kOk) {
+        if (status == StoreStatus::kOk && revision < store_.history_begin_) {
+          events.status_ = StoreStatus::kHistoryGone;
+        } else if (status == StoreStatus::kOk) {
           events.revision_ = store_.revision_;
           events.events_ = store_.EventsAfter(kind, revision);
         }
@@ -95,9 +108,15 @@
       Time timeout_at_;
       std::function<void(StoreStatus)> callback_;
       bool is_lost_ = false;
+      bool is_reset_ = false;
       bool Watches(RecordKind kind) const { return after_ >= 0 && kind_ == kind; }
     };
 
+    void CountRead() {
+      ++reads_;
+      store_.reads_.push_back({Now(), this});
+    }
+
     void Add(RecordKind kind, Revision after, Duration wait, Duration timeout,
              std::function<void(StoreStatus)> callback) {
       const bool waits = access_ == Access::kServed || access_ == Access::kSilent;
@@ -120,7 +139,8 @@
       for (const PendingCall& call : due) {
         StoreStatus status = StoreStatus::kOk;
         if (access_ == Access::kRefused) status = StoreStatus::kRefused;
-        if (access_ == Access::kReset || access_ == Access::kSilent || now >= call.timeout_at_) {
+        if (call.is_reset_ || access_ == Access::kReset || access_ == Access::kSilent ||
+            now >= call.timeout_at_) {
           status = StoreStatus::kUnreachable;
         }
         call.callback_(status);
@@ -130,9 +150,12 @@
 
     // A watch of a served host ends early if there is a change.
     Time EndsAt(const PendingCall& call) const {
+      if (call.is_reset_) return Time{};
       if (access_ == Access::kSilent || call.is_lost_) return call.timeout_at_;
+      if (store_.are_watches_silent_ && call.after_ >= 0) return call.timeout_at_;
       if (access_ == Access::kServed && call.after_ >= 0 &&
-          !store_.EventsAfter(call.kind_, call.after_).empty()) {
+          (call.after_ < store_.history_begin_ ||
+           !store_.EventsAfter(call.kind_, call.after_).empty())) {
         return Time{};
       }
       return std::min(call.end_at_, call.timeout_at_);
@@ -150,6 +173,24 @@
     eventloop::Timer timer_;
   };
 
+  // A watch or a linearizable list.
+  struct Read {
+    Time at_;
+    const View* view_;
+  };
+
+  // Until EndCompaction, watches get no response.
+  void BeginCompaction() { are_watches_silent_ = true; }
+  // Drops the history and resets the waiting watches.
+  void EndCompaction() {
+    are_watches_silent_ = false;
+    for (const auto& view : views_) {
+      for (View::PendingCall& call : view->pending_) call.is_reset_ = call.after_ >= 0;
+    }
+    history_begin_ = revision_;
+    for (const auto& view : views_) view->SetTimer();
+  }
+
   View& AddView() {
     views_.push_back(std::make_unique<View>(*this));
     return *views_.back();
@@ -161,6 +202,8 @@
     for (const auto& view : views_) view->SetTimer();
   }
 
+  std::vector<Read> reads_;
+
  private:
   std::vector<StoreEvent> EventsAfter(RecordKind kind, Revision revision) const {
     std::vector<StoreEvent> events;
@@ -173,6 +216,8 @@
   std::map<RecordKind, std::map<std::string, StoredRecord>> records_;
   std::vector<std::pair<RecordKind, StoreEvent>> changes_;
   Revision revision_ = 1;
+  Revision history_begin_ = 0;
+  bool are_watches_silent_ = false;
   std::vector<std::unique_ptr<View>> views_;
 };
 
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -56,14 +56,17 @@
 
 // Collects the names of the records that a feed reports as present.
 struct FeedObserver {
-  explicit FeedObserver(IRecordStore& store)
+  explicit FeedObserver(IRecordStore& store) : FeedObserver(store, own_caches_) {}
+  FeedObserver(IRecordStore& store, RecordCaches& caches)
       : feed_(RecordKind::kEvacuation,
-              {[this](const std::vector<StoredRecord>& records, Revision /*revision*/) {
+              {[this, &caches](const std::vector<StoredRecord>& records, Revision revision) {
+                 ReplaceRecords(caches[RecordKind::kEvacuation], records, revision);
                  names_.clear();
                  for (const StoredRecord& record : records) names_.insert(record.name_);
                  ++snapshots_;
                },
-               [this](const std::vector<StoreEvent>& events, Revision /*revision*/) {
+               [this, &caches](const std::vector<StoreEvent>& events, Revision revision) {
+                 ApplyEvents(caches[RecordKind::kEvacuation], events, revision);
                  for (const StoreEvent& event : events) {
                    if (event.deleted_) {
                      names_.erase(event.record_.name_);
@@ -72,9 +75,14 @@
                    }
                  }
                },
-               [this](StoreStatus status) { last_status_ = status; }}) {
+               [this](StoreStatus status) { last_status_ = status; },
+               [&caches](const ContentDigests& digests) {
+                 return HasContent(caches[RecordKind::kEvacuation], RecordKind::kEvacuation,
+                                   digests);
+               }}) {
     feed_.ReadFrom(store, kShortDelays);
   }
+  RecordCaches own_caches_;
   std::set<std::string> names_;
   int snapshots_ = 0;
   StoreStatus last_status_ = StoreStatus::kOk;
@@ -89,6 +97,30 @@
   }
 };
 
+// A host that serves evacuations to other hosts, and a store through which these read them.
+struct PeerExchange {
+  void Replace(std::vector<StoredRecord> records, Revision revision) {
+    for (StoredRecord& record : records) {
+      record.revision_ = revision;
+      record.text_ = record.name_;
+    }
+    ReplaceRecords(caches_[RecordKind::kEvacuation], records, revision);
+  }
+
+  Loop loop_;
+  RecordCaches caches_;
+  RecordCaches follower_caches_;
+  RecordServer server_{caches_, [] { return Duration(milliseconds(40)); }};
+  RecordHandler handler_{server_};
+  http::ServerConnections connections_{handler_};
+  std::unique_ptr<http::Listener> listener_ =
+      http::Listener::Open("127.0.0.1:0", [this](int descriptor) {
+        connections_.Accept(descriptor);
+      }).value();
+  TextFormat format_;
+  PeerRecordStore store_{*ParseAddress(listener_->LocalAddress()), format_};
+};
+
 }  // namespace
 
 class RecordFeedTest : public CppUnit::TestFixture {
@@ -224,6 +256,8 @@
   CPPUNIT_TEST(ResponsesAreCompressed);
   CPPUNIT_TEST(FeedReadsFromAnotherHost);
   CPPUNIT_TEST(DelayAddsToTheContentAge);
+  CPPUNIT_TEST(RecordThatChangedAtTheSameRevisionReachesFollowers);
+  CPPUNIT_TEST(ReaderWithOtherContentDoesNotConfirm);
   CPPUNIT_TEST(ReadersAgreeOnTheOnesThatRemain);
   CPPUNIT_TEST(FollowerKeepsAReaderThatSuffices);
   CPPUNIT_TEST(LastHostOfALargeZoneReadsTheStoreInTime);
@@ -300,6 +334,47 @@
     CPPUNIT_ASSERT(Now() - observer.feed_.ConfirmedAt() >= milliseconds(40));
   }
 
+  // Guards against followers that keep a record for good which their reader has read again at the
+  // same revision, because the first response was spoiled.
+  void RecordThatChangedAtTheSameRevisionReachesFollowers() {
+    PeerExchange exchange;
+    StoredRecord record = ZoneRecord("spoiled");
+    exchange.Replace({record}, 7);
+    FeedObserver observer(exchange.store_, exchange.follower_caches_);
+    CPPUNIT_ASSERT(exchange.loop_.RunUntil([&] { return observer.names_.contains("spoiled"); }));
+    record = ZoneRecord("repaired");
+    exchange.Replace({record}, 7);
+    exchange.server_.OnContentConfirmed(RecordKind::kEvacuation);
+    CPPUNIT_ASSERT(exchange.loop_.RunUntil(
+        [&] { return observer.names_ == std::set<std::string>{"repaired"}; }));
+  }
+
+  // Guards against a follower that counts as fresh although it lacks a record that its reader has:
+  // the age in a response is that of the content of the reader.
+  void ReaderWithOtherContentDoesNotConfirm() {
+    PeerExchange exchange;
+    exchange.Replace({ZoneRecord("missed")}, 7);
+    MockRecordStore store;
+    store.revision_ = 9;
+    FeedObserver observer(store, exchange.follower_caches_);
+    CPPUNIT_ASSERT(exchange.loop_.RunUntil([&] { return store.HasWaitingWatches(1); }));
+    store.ExpireWatches();
+    CPPUNIT_ASSERT(exchange.loop_.RunUntil([&] { return observer.feed_.ConfirmedAt() > Time{}; }));
+    const Time confirmed_at = observer.feed_.ConfirmedAt();
+    observer.feed_.ReadFrom(exchange.store_, kShortDelays);
+    exchange.loop_.RunFor(milliseconds(100));
+    exchange.server_.OnContentConfirmed(RecordKind::kEvacuation);
+    exchange.loop_.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT(observer.names_.contains("missed") ||
+                   observer.feed_.ConfirmedAt() == confirmed_at);
+    // The reader is as far as the follower now, so its content is the later one.
+    exchange.Replace({ZoneRecord("missed")}, 9);
+    exchange.server_.OnContentConfirmed(RecordKind::kEvacuation);
+    CPPUNIT_ASSERT(exchange.loop_.RunUntil([&] { return observer.names_.contains("missed"); }));
+    CPPUNIT_ASSERT(
+        exchange.loop_.RunUntil([&] { return observer.feed_.ConfirmedAt() > confirmed_at; }));
+  }
+
   // Guards against content that seems younger than it is, because the response of a slow host was
   // on its way for a long time.
   void DelayAddsToTheContentAge() {
--- a/src/gateway/tests/zone_records_test.cc
+++ b/src/gateway/tests/zone_records_test.cc
@@ -19,6 +19,8 @@
 
 // A change must be in effect this long after its acknowledgement.
 constexpr Duration kMaxChangeDelay = std::chrono::seconds(2);
+// For this time after a disturbance has ended, no bound holds for the hosts that it affected.
+constexpr Duration kSettlingTime = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -31,6 +33,7 @@
   CPPUNIT_TEST(ChangeIsInEffectInTimeIfTheReaderGetsNoResponses);
   CPPUNIT_TEST(ChangeIsInEffectInTimeIfTheFirstCallToTheStoreIsLost);
   CPPUNIT_TEST(ChangeIsInEffectInTimeAfterASilentOutage);
+  CPPUNIT_TEST(RestartedReaderIsFollowedBySoleRejectedHost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +92,20 @@
     for (const auto& host : zone_->hosts_) ExpectChangeInTime(*host);
   }
 
+  // Guards against a host that avoids the only reader of its zone for seconds after one failed
+  // call, while the store rejects it.
+  void RestartedReaderIsFollowedBySoleRejectedHost() {
+    StartHosts(2);
+    zone_->hosts_[1]->view_.SetAccess(Access::kReset);
+    zone_->loop_.RunFor(milliseconds(500));
+    zone_->Restart(*zone_->hosts_[0]);
+    const Time restarted_at = Now();
+    zone_->WaitForChange(*zone_->hosts_[1]);
+    const auto delay = std::chrono::duration_cast<milliseconds>(Now() - restarted_at);
+    CPPUNIT_ASSERT_MESSAGE("in effect " + std::to_string(delay.count()) + " ms after the restart",
+                           delay <= kSettlingTime);
+  }
+
  private:
   // Starts hosts in the order of their rank as readers.
   void StartHosts(int count) {
