gateway: avoid a failed reader for long only while another one is known

A host left a reader after one call without a response and did not use it again for 8 s, also if it knew no other one. A host that the store served read the store instead; one that the store rejected at the same time had no source. A reader that failed is now tried again after 0.3 s if the host knows no other one.

--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -38,8 +38,10 @@
 // If the store confirmed the content longer ago than this, the store counts as lost. Registrations
 // of targets cannot expire during a shorter outage.
 constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(2800);
-// A host that failed as a source is not used again for this time.
+// A host that failed as a source is not used again for this time while another one is known.
 constexpr Duration kFailedSourceBackoff = std::chrono::seconds(8);
+// The same if no other one is known.
+constexpr Duration kSoleSourceBackoff = std::chrono::milliseconds(300);
 // Time for which a follower reads the store itself after its reader failed.
 constexpr Duration kDirectReadTime = std::chrono::seconds(1);
 // A probe is a stale read, which costs a tenth of a call and shows whether the store serves this
@@ -177,11 +179,19 @@
 std::string StoreSync::BestSource(Time now) const {
   ZoneReaders usable = zone_;
   std::erase_if(usable.readers_, [&](const Reader& reader) {
-    const auto avoided = avoided_sources_.find(reader.address_);
-    if (avoided != avoided_sources_.end() && avoided->second > now) return true;
     const auto left = left_sources_.find(reader.address_);
     return left != left_sources_.end() && reader.confirmed_at_ <= left->second;
   });
+  const auto erase_failed = [&](std::vector<Reader>& readers, Duration backoff) {
+    std::erase_if(readers, [&](const Reader& reader) {
+      const auto failed = failed_sources_.find(reader.address_);
+      return failed != failed_sources_.end() && now < failed->second + backoff;
+    });
+  };
+  erase_failed(usable.readers_, kSoleSourceBackoff);
+  std::vector<Reader> others = usable.readers_;
+  erase_failed(others, kFailedSourceBackoff);
+  if (!others.empty()) usable.readers_ = std::move(others);
   return ChooseSource(Self(), IsReader(now), source_, usable);
 }
 
@@ -563,7 +573,7 @@
 
 void StoreSync::OnSourceFailed(StoreStatus status, Time now) {
   if (!source_.empty()) {
-    avoided_sources_[source_] = now + kFailedSourceBackoff;
+    failed_sources_[source_] = now;
     const std::string source = BestSource(now);
     if (source.empty()) return AwaitReader(now);
     return UseSource(source, "source_failed", now);
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -128,7 +128,7 @@
   std::unique_ptr<PeerRecordStore> peer_store_;
   // A replaced peer store may still be on the call stack; it is destroyed at the next tick.
   std::vector<std::unique_ptr<PeerRecordStore>> replaced_peer_stores_;
-  std::map<std::string, Time> avoided_sources_;  // By address, until this time.
+  std::map<std::string, Time> failed_sources_;  // By address, when the last call to it failed.
   // By address: left at this time because of their old content, until the store confirms it again.
   std::map<std::string, Time> left_sources_;
   // When this host reads the store if no reader is announced; zero if it does not wait for one.
