gateway: a confirmation names the content that it confirms

A follower took the age of its reader's content for that of its own, without comparing the two. A host that lacked a record stayed without it until the next change of that record, and counted as fresh: callers got the answers of an older version, or a target that drains got requests. Two ways into that state: a record that the reader has read again at the same revision (the first response was spoiled), which is no change for followers and was also hidden by the cached response; and a reader that is behind.

A response of another host now confirms only if this host then holds the same records of the kind (digest). If not, the records are listed at once; a list of a reader that is behind changes nothing and confirms nothing, so that the age of the content grows and another source is looked for. The revision of a host advances with each confirmation and is passed on, so that followers start with a recent revision when they have to read the store. Responses with the configuration also compare targets and evacuations at the same revision.

RecordThatChangedAtTheSameRevisionReachesFollowers and ReaderWithOtherContentDoesNotConfirm failed before; the first one now waits until the follower watches, a race of the test itself.

--- a/src/gateway/internal/record_cache.cc
+++ b/src/gateway/internal/record_cache.cc
@@ -39,9 +39,14 @@
 
 }  // namespace
 
-bool HasContent(const RecordCache& cache, RecordKind kind, const ContentDigests& digests) {
-  const auto found = digests.find(kind);
-  return found == digests.end() || found->second == cache.digest_;
+bool HasContent(const RecordCache& cache, RecordKind kind, const ContentVersions& contents) {
+  const auto found = contents.find(kind);
+  return found == contents.end() || found->second.digest_ == cache.digest_;
+}
+
+void AdvanceRevision(RecordCache& cache, Revision revision) {
+  // Before the first list the cache has no content that could be confirmed.
+  if (cache.revision_ != 0) cache.revision_ = std::max(cache.revision_, revision);
 }
 
 void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records,
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -1,7 +1,6 @@
 #include "gateway/internal/record_exchange.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -22,8 +21,8 @@
 constexpr std::string_view kAgeHeader = "Content-Age-Ms";
 // Time that the request waited for changes, in milliseconds.
 constexpr std::string_view kHeldHeader = "Held-Ms";
-// Digests of the content of the host, by kind: `configuration=HEX,target=HEX`.
-constexpr std::string_view kDigestsHeader = "Records-Digests";
+// What the host holds of each kind: `configuration=REVISION:DIGEST,target=REVISION:DIGEST`.
+constexpr std::string_view kContentsHeader = "Records-Content";
 // Limits the list of all records of a kind. The store accepts values of up to one megabyte.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 20;
 constexpr int kHistoryGoneStatus = 410;
@@ -81,39 +80,44 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
-std::string FormatDigests(const RecordCaches& caches) {
-  constexpr int kHexadecimal = 16;
+std::string FormatContents(const RecordCaches& caches) {
   std::string text;
   for (const auto& [kind, cache] : caches) {
     if (cache.revision_ == 0) continue;
-    std::array<char, 17> digits{};
-    const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), cache.digest_, kHexadecimal)
-            .ptr;
     if (!text.empty()) text += ',';
-    text.append(NameOf(kRecordKindNames, kind)).append("=").append(digits.data(), end);
+    text.append(NameOf(kRecordKindNames, kind)).append("=");
+    text.append(std::to_string(cache.revision_)).append(":").append(std::to_string(cache.digest_));
   }
   return text;
 }
 
+template <typename Number>
+bool ParseNumber(std::string_view text, Number& number) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
 // Leaves out what cannot be read: hosts of another version may know other kinds.
-ContentDigests ParseDigests(const http::Headers& headers) {
-  constexpr int kHexadecimal = 16;
-  ContentDigests digests;
-  const std::string* text = http::FindHeader(headers, kDigestsHeader);
+ContentVersions ParseContents(const http::Headers& headers) {
+  ContentVersions contents;
+  const std::string* text = http::FindHeader(headers, kContentsHeader);
   std::string_view rest = text == nullptr ? std::string_view() : *text;
   while (!rest.empty()) {
     const std::string_view part = rest.substr(0, rest.find(','));
     rest.remove_prefix(std::min(part.size() + 1, rest.size()));
     const std::size_t equals = part.find('=');
-    if (equals == std::string_view::npos) continue;
+    const std::size_t colon = part.find(':');
+    if (equals == std::string_view::npos || colon == std::string_view::npos || colon < equals) {
+      continue;
+    }
     const auto kind = ValueOf(kRecordKindNames, part.substr(0, equals));
-    ContentDigest digest = 0;
-    const char* end = part.data() + part.size();
-    const auto parsed = std::from_chars(part.data() + equals + 1, end, digest, kHexadecimal);
-    if (kind && parsed.ec == std::errc() && parsed.ptr == end) digests[*kind] = digest;
+    ContentVersion content;
+    if (kind && ParseNumber(part.substr(equals + 1, colon - equals - 1), content.revision_) &&
+        ParseNumber(part.substr(colon + 1), content.digest_)) {
+      contents[*kind] = content;
+    }
   }
-  return digests;
+  return contents;
 }
 
 // Returns std::nullopt if the response does not have the format of a RecordServer.
@@ -138,7 +142,7 @@
     if (!json.at("revision").is_number_integer()) return std::nullopt;
     events.revision_ = json.at("revision").get<Revision>();
     events.age_ = *age;
-    events.digests_ = ParseDigests(result.headers_);
+    events.contents_ = ParseContents(result.headers_);
     events.status_ = StoreStatus::kOk;
     return events;
   } catch (const Json::exception&) {
@@ -205,7 +209,8 @@
   const RecordCache& cache = caches_.at(request.kind_);
   const Revision after = request.after_;
   CachedResponse& last = cached_responses_[request.kind_];
-  if (last.after_ == after && last.revision_ == cache.revision_) {
+  // A record that was read again can have changed at the same revision.
+  if (last.after_ == after && last.revision_ == cache.revision_ && last.digest_ == cache.digest_) {
     return SendBody(request, last.body_);
   }
   Json records = Json::array();
@@ -221,7 +226,7 @@
       records.push_back(ToJson(event.record_, event.deleted_));
     }
   }
-  last = {after, cache.revision_,
+  last = {after, cache.revision_, cache.digest_,
           EncodeRecords(std::move(records), std::max(after, cache.revision_))};
   SendBody(request, last.body_);
 }
@@ -235,7 +240,7 @@
                                {{"Content-Type", "application/octet-stream"},
                                 {std::string(kAgeHeader), std::to_string(age)},
                                 {std::string(kHeldHeader), std::to_string(held)},
-                                {std::string(kDigestsHeader), FormatDigests(caches_)}},
+                                {std::string(kContentsHeader), FormatContents(caches_)}},
                                body);
 }
 
@@ -307,7 +312,7 @@
                  page.status_ = events.status_;
                  page.revision_ = events.revision_;
                  page.age_ = events.age_;
-                 page.digests_ = std::move(events.digests_);
+                 page.contents_ = std::move(events.contents_);
                  for (StoreEvent& event : events.events_) {
                    page.records_.push_back(std::move(event.record_));
                  }
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -50,6 +50,7 @@
   struct CachedResponse {
     Revision after_ = -1;
     Revision revision_ = -1;
+    ContentDigest digest_ = 0;
     std::string body_;
   };
   void RespondWithEvents(const WaitingRequest& request);
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -67,7 +67,6 @@
     ScheduleRetry();
     return handler_.on_status_(page.status_);
   }
-  if (!page.is_stale_) confirmed_at_ = std::max(confirmed_at_, Now() - page.age_);
   is_next_watch_short_ = settings_.confirms_at_once_ && page.is_stale_;
   // Pages may have different revisions. Watching from the oldest one may repeat changes, but misses
   // none.
@@ -78,13 +77,15 @@
   needs_list_ = false;
   has_snapshot_ = true;
   if (!history_gone_) retry_delay_ = settings_.min_retry_delay_;
-  // A stale list must not replace newer content; the watch delivers the changes after it.
+  // A stale list must not replace newer content; the watch delivers the changes after it. The same
+  // holds for the list of a host that is behind; it confirms nothing unless it has the same
+  // records.
   if (listed_revision_ >= revision_) {
     revision_ = listed_revision_;
     handler_.on_snapshot_(listed_records_, revision_);
   }
   listed_records_.clear();
-  ReportDigests(page.digests_);
+  if (!page.is_stale_ && HasContentOf(page.contents_)) Confirm(page.age_);
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
@@ -129,19 +130,30 @@
     ScheduleRetry();
     return handler_.on_status_(events.status_);
   }
-  confirmed_at_ = std::max(confirmed_at_, Now() - events.age_);
+  revision_ = std::max(revision_, events.revision_);
+  // The followers of this host get the changes with the age of this response.
+  if (events.contents_.empty()) Confirm(events.age_);
   is_next_watch_short_ = false;
   history_gone_ = false;
   retry_delay_ = settings_.min_retry_delay_;
   timer_.Set(Now() + settings_.watch_pause_);
-  revision_ = std::max(revision_, events.revision_);
   if (!events.events_.empty()) handler_.on_events_(events.events_, revision_);
-  ReportDigests(events.digests_);
+  if (HasContentOf(events.contents_)) {
+    Confirm(events.age_);
+  } else {
+    // The timer that was set above lists the records.
+    needs_list_ = true;
+  }
   handler_.on_status_(StoreStatus::kOk);
 }
 
-void RecordFeed::ReportDigests(const ContentDigests& digests) {
-  if (!digests.empty() && handler_.on_digests_ != nullptr) handler_.on_digests_(digests);
+bool RecordFeed::HasContentOf(const ContentVersions& contents) const {
+  return contents.empty() || handler_.on_contents_ == nullptr || handler_.on_contents_(contents);
+}
+
+void RecordFeed::Confirm(Duration age) {
+  confirmed_at_ = std::max(confirmed_at_, Now() - age);
+  if (handler_.on_confirmed_ != nullptr) handler_.on_confirmed_(revision_);
 }
 
 void RecordFeed::ScheduleRetry() {
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -107,7 +107,8 @@
             OnEvents(kind, events, revision);
           },
           [this, kind](StoreStatus status) { OnStatus(kind, status); },
-          [this, kind](const ContentDigests& digests) { return OnDigests(kind, digests); }};
+          [this, kind](const ContentVersions& contents) { return OnContents(kind, contents); },
+          [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); }};
 }
 
 void StoreSync::Start() {
@@ -409,15 +410,39 @@
                      {"writes", std::to_string(counts.writes_)}});
 }
 
-bool StoreSync::OnDigests(RecordKind kind, const ContentDigests& digests) {
-  if (HasContent(caches_[kind], kind, digests)) return true;
+RecordFeed& StoreSync::Feed(RecordKind kind) {
+  if (kind == RecordKind::kTarget) return target_feed_;
+  return kind == RecordKind::kEvacuation ? evacuation_feed_ : configuration_feed_;
+}
+
+bool StoreSync::OnContents(RecordKind kind, const ContentVersions& contents) {
+  // The configuration is confirmed most often.
+  if (kind == RecordKind::kConfiguration) CompareOtherKinds(contents);
+  if (HasContent(caches_[kind], kind, contents)) return true;
+  ReportDifference(kind, contents.at(kind));
+  return false;
+}
+
+void StoreSync::CompareOtherKinds(const ContentVersions& contents) {
+  for (const RecordKind kind : {RecordKind::kTarget, RecordKind::kEvacuation}) {
+    const auto other = contents.find(kind);
+    // At another revision, changes are still on their way.
+    if (other == contents.end() || other->second.revision_ != caches_[kind].revision_) continue;
+    if (HasContent(caches_[kind], kind, contents)) continue;
+    ReportDifference(kind, other->second);
+    Feed(kind).RequestList();
+    Feed(kind).Restart();
+  }
+}
+
+void StoreSync::ReportDifference(RecordKind kind, const ContentVersion& other) {
   logging::LogEvent(logging::LogLevel::kWarning, "records_differ",
                     {{"kind", KindName(kind)},
                      {"source", source_.empty() ? "store" : source_},
                      {"revision", std::to_string(caches_[kind].revision_)},
+                     {"source_revision", std::to_string(other.revision_)},
                      {"count", std::to_string(caches_[kind].records_.size())}});
   state_.metrics_.CountDifferingRecords(KindName(kind));
-  return false;
 }
 
 void StoreSync::RestartTargetAndEvacuationFeeds() {
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -56,7 +56,11 @@
   void OnEvents(RecordKind kind, const std::vector<StoreEvent>& events, Revision revision);
   void OnStatus(RecordKind kind, StoreStatus status);
   // Returns whether this host has the content of its source.
-  bool OnDigests(RecordKind kind, const ContentDigests& digests);
+  bool OnContents(RecordKind kind, const ContentVersions& contents);
+  // Reads the records of the other kinds again if the source has other ones at the same revision.
+  void CompareOtherKinds(const ContentVersions& contents);
+  void ReportDifference(RecordKind kind, const ContentVersion& other);
+  RecordFeed& Feed(RecordKind kind);
   // Logs the calls to the store of the last second.
   void ReportStoreCalls(Time now);
   void ReportUnreadableRecord(RecordKind kind, const StoredRecord& record);
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -36,9 +36,13 @@
 // old.
 enum class Consistency { kLatest, kStale };
 
-// Identifies the content of the records of one kind; see RecordCache.
+// Identifies the content that a host holds of one kind; see RecordCache.
 using ContentDigest = std::uint64_t;
-using ContentDigests = std::map<RecordKind, ContentDigest>;
+struct ContentVersion {
+  Revision revision_ = 0;
+  ContentDigest digest_ = 0;
+};
+using ContentVersions = std::map<RecordKind, ContentVersion>;
 
 struct StorePage {
   StoreStatus status_ = StoreStatus::kUnreachable;
@@ -50,7 +54,7 @@
   // The result of a kStale read of the store, which may lack changes of the last seconds.
   bool is_stale_ = false;
   // Content of the host that passed the page on; empty if the page comes from the store itself.
-  ContentDigests digests_;
+  ContentVersions contents_;
 };
 
 struct StoreEvent {
@@ -61,9 +65,9 @@
 struct StoreEvents {
   StoreStatus status_ = StoreStatus::kUnreachable;
   std::vector<StoreEvent> events_;
-  Revision revision_ = 0;   // Revision to continue the watch from.
-  Duration age_{};          // As in StorePage.
-  ContentDigests digests_;  // As in StorePage.
+  Revision revision_ = 0;     // Revision to continue the watch from.
+  Duration age_{};            // As in StorePage.
+  ContentVersions contents_;  // As in StorePage.
 };
 
 struct StoreWrite {
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -41,8 +41,11 @@
     // Receives the result of each call, after ConfirmedAt() was updated.
     std::function<void(StoreStatus)> on_status_;
     // Receives what another host holds, after its response was applied, and returns whether this
-    // host holds the same records. May be empty.
-    std::function<bool(const ContentDigests&)> on_digests_;
+    // host holds the same records of the kind. Otherwise the response confirms nothing, and the
+    // records are listed. May be empty.
+    std::function<bool(const ContentVersions&)> on_contents_;
+    // Receives the revision up to which the source has confirmed the content. May be empty.
+    std::function<void(Revision)> on_confirmed_;
   };
 
   RecordFeed(RecordKind kind, Handler handler);
@@ -69,7 +72,9 @@
   void OnEvents(const StoreEvents& events);
   void ScheduleRetry();
   void ListOrWatch();
-  void ReportDigests(const ContentDigests& digests);
+  // Returns whether the response, which was applied, describes the content of this host.
+  bool HasContentOf(const ContentVersions& contents) const;
+  void Confirm(Duration age);
 
   IRecordStore* store_ = nullptr;
   RecordKind kind_;
--- a/src/gateway/store_gate.h
+++ b/src/gateway/store_gate.h
@@ -26,8 +26,8 @@
 
 enum class GateAction { kNone, kProbe, kRead };
 
-// Asks for a turn. `higher_ranked` is the number of live hosts of the zone that rank higher than this
-// one. Has no effect if a turn was requested before.
+// Asks for a turn. `higher_ranked` is the number of live hosts of the zone that rank higher than
+// this one. Has no effect if a turn was requested before.
 void RequestTurn(StoreGate& gate, std::string_view cause, std::size_t higher_ranked, Time now);
 // Ends the request: a source confirms the content again, or the store is being read.
 void CloseGate(StoreGate& gate);
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -76,9 +76,9 @@
                  }
                },
                [this](StoreStatus status) { last_status_ = status; },
-               [&caches](const ContentDigests& digests) {
+               [&caches](const ContentVersions& contents) {
                  return HasContent(caches[RecordKind::kEvacuation], RecordKind::kEvacuation,
-                                   digests);
+                                   contents);
                }}) {
     feed_.ReadFrom(store, kShortDelays);
   }
@@ -342,6 +342,7 @@
     exchange.Replace({record}, 7);
     FeedObserver observer(exchange.store_, exchange.follower_caches_);
     CPPUNIT_ASSERT(exchange.loop_.RunUntil([&] { return observer.names_.contains("spoiled"); }));
+    exchange.loop_.RunFor(milliseconds(50));  // The follower waits for changes now.
     record = ZoneRecord("repaired");
     exchange.Replace({record}, 7);
     exchange.server_.OnContentConfirmed(RecordKind::kEvacuation);
