gateway: a failed watch is followed by another call before the source counts as lost

A reader learned of changes through its watches alone. While the store compacts its history, watches hear nothing for about a second, and then they are cut: the reader waited 1.3 s, longer than its content may be old, counted the store as lost after one failed call, and its zone looked for another source.

A watch of the configuration is now given up 0.25 s after its wait (0.6 s), and a linearizable list confirms the content instead; a failed watch of the other kinds is repeated once. Only the failure of that second call is reported. A healthy reader confirms its content every 0.75 s (0.9 s before), one whose watches hear nothing within 1.05 s. A refusal is an answer of the store and is reported at once.

WatchThatFailsIsReplacedByAList: the setting is new.

--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -31,11 +31,13 @@
 
 void RecordFeed::Pause() {
   ++generation_;
+  is_second_call_ = false;
   timer_.Clear();
 }
 
 void RecordFeed::Restart() {
   ++generation_;
+  is_second_call_ = false;
   retry_delay_ = settings_.min_retry_delay_;
   ListOrWatch();
 }
@@ -56,14 +58,18 @@
 
 void RecordFeed::List(const std::string& after) {
   if (after.empty()) listed_records_.clear();
-  store_->List(kind_, after, consistency_, settings_.list_timeout_,
+  store_->List(kind_, after, consistency_,
+               is_second_call_ ? settings_.second_call_timeout_ : settings_.list_timeout_,
                [this, generation = generation_](StorePage page) {
                  if (generation == generation_) OnPage(std::move(page));
                });
 }
 
 void RecordFeed::OnPage(StorePage page) {
+  const bool was_second_call = std::exchange(is_second_call_, false);
   if (page.status_ != StoreStatus::kOk) {
+    // After a failed watch the content may still be continued from its revision.
+    if (was_second_call && has_snapshot_) needs_list_ = false;
     ScheduleRetry();
     return handler_.on_status_(page.status_);
   }
@@ -103,18 +109,35 @@
   // After a failure, and for the first watch after a delay, a short wait is used: a response
   // without changes is enough to confirm the content.
   const Duration wait = is_next_watch_short_ ? kShortWatchWait : settings_.watch_wait_;
-  store_->Watch(kind_, revision_, wait, wait + settings_.watch_timeout_margin_,
+  const Duration margin =
+      is_second_call_ ? settings_.second_call_timeout_ : settings_.watch_timeout_margin_;
+  store_->Watch(kind_, revision_, wait, wait + margin,
                 [this, generation = generation_](const StoreEvents& events) {
                   if (generation == generation_) OnEvents(events);
                 });
 }
 
+bool RecordFeed::CallAgain(StoreStatus status) {
+  // A refusal is an answer of the store.
+  if (status != StoreStatus::kUnreachable ||
+      settings_.after_failed_watch_ == AfterFailedWatch::kReport ||
+      std::exchange(is_second_call_, true)) {
+    is_second_call_ = false;
+    return false;
+  }
+  is_next_watch_short_ = true;
+  if (settings_.after_failed_watch_ == AfterFailedWatch::kList) RequestList();
+  ListOrWatch();
+  return true;
+}
+
 void RecordFeed::OnEvents(const StoreEvents& events) {
   if (events.status_ == StoreStatus::kHistoryGone) {
     logging::LogEvent(logging::LogLevel::kWarning, "history_gone",
                       {{"kind", std::string(NameOf(kRecordKindNames, kind_))},
                        {"revision", std::to_string(revision_)}});
     needs_list_ = true;
+    is_second_call_ = false;
     // A stale list could be older than the remaining history.
     consistency_ = Consistency::kLatest;
     // If a watch fails right after such a list too, the store keeps no history at the moment, and
@@ -127,6 +150,7 @@
     return handler_.on_status_(events.status_);
   }
   if (events.status_ != StoreStatus::kOk) {
+    if (CallAgain(events.status_)) return;
     ScheduleRetry();
     return handler_.on_status_(events.status_);
   }
@@ -135,6 +159,7 @@
   if (events.contents_.empty()) Confirm(events.age_);
   is_next_watch_short_ = false;
   history_gone_ = false;
+  is_second_call_ = false;
   retry_delay_ = settings_.min_retry_delay_;
   timer_.Set(Now() + settings_.watch_pause_);
   if (!events.events_.empty()) handler_.on_events_(events.events_, revision_);
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -15,12 +15,15 @@
 // on: the store may discard changes without ending a watch.
 constexpr FeedSettings kStoreConfigurationFeed = {
     .watch_wait_ = kConfirmationWait,
-    .watch_timeout_margin_ = std::chrono::milliseconds(600),
+    .watch_timeout_margin_ = kConfirmationMargin,
     .watch_pause_ = kConfirmationPause,
     .confirms_at_once_ = true,
+    // Watches may hear nothing, or be reset, while the store answers other calls.
+    .after_failed_watch_ = AfterFailedWatch::kList,
     .min_retry_delay_ = std::chrono::milliseconds(50)};
 // The wait bounds how long a watch can hang on a dead connection.
-constexpr FeedSettings kStoreFeed = {.watch_wait_ = std::chrono::seconds(8)};
+constexpr FeedSettings kStoreFeed = {.watch_wait_ = std::chrono::seconds(8),
+                                     .after_failed_watch_ = AfterFailedWatch::kWatch};
 // A reader responds to its followers after each confirmation, so a wait ends by itself only if the
 // reader has lost the store.
 constexpr FeedSettings kPeerConfigurationFeed = {
--- a/src/gateway/reader_choice.h
+++ b/src/gateway/reader_choice.h
@@ -64,8 +64,10 @@
 
 // Bound the time between two confirmations of a healthy reader: its watch of the configuration
 // returns after kConfirmationWait at the latest, and the next watch starts after
-// kConfirmationPause.
-inline constexpr Duration kConfirmationWait = std::chrono::milliseconds(700);
-inline constexpr Duration kConfirmationPause = std::chrono::milliseconds(200);
+// kConfirmationPause. A watch without a response is given up after kConfirmationMargin, and a list
+// confirms the content instead, before it becomes too old.
+inline constexpr Duration kConfirmationWait = std::chrono::milliseconds(600);
+inline constexpr Duration kConfirmationPause = std::chrono::milliseconds(150);
+inline constexpr Duration kConfirmationMargin = std::chrono::milliseconds(250);
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -11,6 +11,13 @@
 
 namespace monsoonshelf::gateway {
 
+// What a feed does after a watch got no response, or lost its connection.
+enum class AfterFailedWatch {
+  kReport,  // Reports the failure.
+  kWatch,   // Watches once more, for a short time, and reports the failure of that.
+  kList,    // Lists the latest records, and reports the failure of that.
+};
+
 // Timeouts, waits and pauses of the calls of a feed.
 struct FeedSettings {
   Duration list_timeout_ = std::chrono::milliseconds(1500);
@@ -24,6 +31,9 @@
   Duration first_watch_pause_{};
   // The first watch at a new source returns soon, with or without changes, to confirm the content.
   bool confirms_at_once_ = false;
+  AfterFailedWatch after_failed_watch_ = AfterFailedWatch::kReport;
+  // Timeout of the call that follows a failed watch.
+  Duration second_call_timeout_ = std::chrono::milliseconds(300);
   // Delays between retries of a failed call, with exponential back-off.
   Duration min_retry_delay_ = std::chrono::milliseconds(200);
   Duration max_retry_delay_ = std::chrono::milliseconds(1000);
@@ -72,6 +82,8 @@
   void OnEvents(const StoreEvents& events);
   void ScheduleRetry();
   void ListOrWatch();
+  // Makes another call after a failed watch, if the settings ask for one. Returns whether it did.
+  bool CallAgain(StoreStatus status);
   // Returns whether the response, which was applied, describes the content of this host.
   bool HasContentOf(const ContentVersions& contents) const;
   void Confirm(Duration age);
@@ -83,6 +95,7 @@
   eventloop::Timer timer_;
   bool has_snapshot_ = false;
   bool needs_list_ = true;
+  bool is_second_call_ = false;       // The last watch failed, and its failure is not reported yet.
   bool history_gone_ = false;         // The last watch failed with kHistoryGone.
   bool is_next_watch_short_ = false;  // Use a short wait to confirm the content soon.
   // Increases when pending calls are abandoned. Responses to calls of an earlier generation are
--- a/src/gateway/tests/large_zone_test.cc
+++ b/src/gateway/tests/large_zone_test.cc
@@ -30,6 +30,8 @@
 // Linearizable lists and watches of a zone in one second: of each of these hosts two for each of
 // the three kinds.
 constexpr std::size_t kMaxReadsPerSecond = kMaxDirectReaders * 6;
+// Just before the reader confirms the content again.
+constexpr Duration kAgedContent = kConfirmationWait - milliseconds(100);
 // For this time after a disturbance has ended, no bound holds for the hosts that it affected.
 constexpr Duration kSettlingTime = std::chrono::seconds(3);
 
@@ -102,7 +104,8 @@
     RunUntilContentHasAged();
     CountReads();
     for (const auto& host : zone_->hosts_) host->view_.SetAccess(Access::kSilent);
-    zone_->loop_.RunFor(milliseconds(650));
+    const Duration until_old = kMaxContentAge - kAgedContent;
+    zone_->loop_.RunFor(std::chrono::duration_cast<milliseconds>(until_old) + milliseconds(50));
     for (const auto& host : zone_->hosts_) host->view_.SetAccess(Access::kServed);
     ExpectChangeInTime({});
     ExpectFewReaders();
@@ -183,8 +186,7 @@
     const GatewayZone::Host& reader = *zone_->hosts_[ReaderIndex()];
     const int reads = reader.view_.reads_;
     CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return reader.view_.reads_ > reads; }));
-    zone_->loop_.RunFor(std::chrono::duration_cast<milliseconds>(kConfirmationWait) -
-                        milliseconds(100));
+    zone_->loop_.RunFor(std::chrono::duration_cast<milliseconds>(kAgedContent));
   }
 
   void ExpectChangeInTimeIfMostHostsGet(Access access) {
--- a/src/gateway/tests/mocks/mock_record_store.h
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -116,7 +116,8 @@
   Revision revision_ = 1;
   Revision history_begin_ = 0;
   StoreStatus status_ = StoreStatus::kOk;
-  bool suppress_watch_events_ = false;  // Changes do not end watches.
+  StoreStatus watch_status_ = StoreStatus::kOk;  // Of watches alone.
+  bool suppress_watch_events_ = false;           // Changes do not end watches.
   std::vector<ListCall> list_calls_;
   int watch_calls_ = 0;
   int write_calls_ = 0;
@@ -129,8 +130,8 @@
 
   StoreEvents EventsFor(RecordKind kind, Revision after) const {
     StoreEvents events;
-    events.status_ = status_;
-    if (status_ != StoreStatus::kOk) return events;
+    events.status_ = status_ == StoreStatus::kOk ? watch_status_ : status_;
+    if (events.status_ != StoreStatus::kOk) return events;
     if (after < history_begin_) {
       events.status_ = StoreStatus::kHistoryGone;
       return events;
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -132,6 +132,8 @@
   CPPUNIT_TEST(StaleListDoesNotReplaceNewerContent);
   CPPUNIT_TEST(RetriesAfterRefusedCalls);
   CPPUNIT_TEST(StaleListDoesNotConfirmTheContent);
+  CPPUNIT_TEST(WatchThatFailsIsReplacedByAList);
+  CPPUNIT_TEST(FailureOfTheSecondCallIsReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -234,6 +236,37 @@
     CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.feed_.ConfirmedAt() > Time{}; }));
   }
 
+  // Guards against a reader that waits for its watches while they hear nothing, and gives up its
+  // source when they are cut, although the store answers other calls.
+  void WatchThatFailsIsReplacedByAList() {
+    Loop loop;
+    MockRecordStore store;
+    FeedObserver observer(store);
+    observer.feed_.ReadFrom(store, {.after_failed_watch_ = AfterFailedWatch::kList});
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return store.HasWaitingWatches(1); }));
+    const Time confirmed_at = observer.feed_.ConfirmedAt();
+    store.watch_status_ = StoreStatus::kUnreachable;
+    store.Put(RecordKind::kEvacuation, ZoneRecord("a"));
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.names_.contains("a"); }));
+    CPPUNIT_ASSERT(store.list_calls_.back().consistency_ == Consistency::kLatest);
+    CPPUNIT_ASSERT(observer.feed_.ConfirmedAt() > confirmed_at);
+    CPPUNIT_ASSERT(observer.last_status_ == StoreStatus::kOk);
+  }
+
+  void FailureOfTheSecondCallIsReported() {
+    for (const AfterFailedWatch after : {AfterFailedWatch::kWatch, AfterFailedWatch::kList}) {
+      Loop loop;
+      MockRecordStore store;
+      FeedObserver observer(store);
+      observer.feed_.ReadFrom(store, {.after_failed_watch_ = after});
+      CPPUNIT_ASSERT(loop.RunUntil([&] { return store.HasWaitingWatches(1); }));
+      store.status_ = StoreStatus::kUnreachable;
+      store.EndChangedWatches();
+      CPPUNIT_ASSERT(
+          loop.RunUntil([&] { return observer.last_status_ == StoreStatus::kUnreachable; }));
+    }
+  }
+
   void RetriesAfterRefusedCalls() {
     Loop loop;
     MockRecordStore store;
