gateway: every read of the store waits for the turn of its host

All hosts of a zone see the loss of their reader, and the return of the store, at the same moment. The wait by rank was kept at one of several ways to the store (a failed source, or a probe after a failed one); content that is too old, a probe that was pending when the store returned, more capacity than the readers, and the first watch after a start passed it by.

One gate (store_gate.h) now stands before every read, whatever its cause. A host asks for a turn; it probes the store when its turn by rank has come (2 hosts at once, then 6, 18, ... every 0.1 s), and when a probe succeeds the turn counts once more, since the probes of many hosts succeed at the moment in which the store returns. A source that confirms the content ends the request. Hosts that start list what a stale read returns and wait for a reader before they watch. The first read of the configuration at the store is a linearizable list, which works also while watches hear nothing.

The way back of a host of low rank was a sum of waits: a probe that was pending at the end (0.6 s), an interval of 1.4 s, a lost call, the rank and a read: 3.11 s, while the excuse for a disturbance ends after 3 s. Probes now follow each other every 0.4 s (0.8 s at low rank after the first ones) without waiting for the one before.

LastHostOfALargeZoneReadsTheStoreInTime now plays the turns through the gate, with a probe and its second wait, in the same two seconds; kMaxContentAge is 1.1 s.

--- a/src/gateway/internal/reader_choice.cc
+++ b/src/gateway/internal/reader_choice.cc
@@ -14,11 +14,6 @@
 constexpr int kCapacityPerFollower = 5;
 // A follower replaces the readers if it has at least this many times their capacity.
 constexpr int kReplacingCapacityRatio = 2;
-// Hosts that read the store at once when their zone has lost its reader. Twice as many follow after
-// each interval, which lets an announcement arrive.
-constexpr std::size_t kFirstDirectReaders = 4;
-constexpr Duration kDirectReadInterval = std::chrono::milliseconds(100);
-
 std::pair<int, std::uint64_t> RankOf(const Reader& reader) {
   return ReaderRank(reader.name_, reader.capacity_);
 }
@@ -76,13 +71,4 @@
   });
 }
 
-Duration DirectReadDelay(std::size_t higher_ranked) {
-  Duration delay{};
-  for (std::size_t readers = kFirstDirectReaders; higher_ranked >= readers;
-       readers = readers * 2 + kFirstDirectReaders) {
-    delay += kDirectReadInterval;
-  }
-  return delay;
-}
-
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -95,10 +95,8 @@
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
-  if (settings_.first_watch_pause_.count() > 0) {
-    is_next_watch_short_ = true;
-    timer_.Set(Now() + settings_.first_watch_pause_);
-  } else if (needs_list_) {
+  if (settings_.only_lists_) return;
+  if (needs_list_) {
     timer_.Set(Now() + settings_.watch_pause_);
   } else {
     Watch();
--- a/src/gateway/internal/store_gate.cc
+++ b/src/gateway/internal/store_gate.cc
@@ -4,30 +4,33 @@
 
 namespace {
 
-// Hosts that have their turn at once. Twice as many follow after each interval, in which the
+// Hosts that have their turn at once. Three times as many follow after each interval, in which the
 // announcement of a new reader arrives.
 constexpr std::size_t kFirstTurns = 2;
 constexpr Duration kTurnInterval = std::chrono::milliseconds(100);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+// Interval of the hosts of low rank, after the first probes.
 constexpr Duration kLongProbeInterval = std::chrono::milliseconds(800);
+constexpr int kFrequentProbes = 2;
 
 }  // namespace
 
 Duration TurnDelay(std::size_t higher_ranked) {
   Duration delay{};
-  for (std::size_t turns = kFirstTurns; higher_ranked >= turns; turns = turns * 2 + kFirstTurns) {
+  for (std::size_t turns = kFirstTurns; higher_ranked >= turns; turns = turns * 3 + kFirstTurns) {
     delay += kTurnInterval;
   }
   return delay;
 }
 
-Duration ProbeInterval(std::size_t higher_ranked) {
-  return TurnDelay(higher_ranked) <= kTurnInterval ? kProbeInterval : kLongProbeInterval;
+Duration ProbeInterval(std::size_t higher_ranked, int probes) {
+  const bool is_high_ranked = TurnDelay(higher_ranked) <= kTurnInterval;
+  return is_high_ranked || probes < kFrequentProbes ? kProbeInterval : kLongProbeInterval;
 }
 
 void RequestTurn(StoreGate& gate, std::string_view cause, std::size_t higher_ranked, Time now) {
   if (gate.state_ != StoreGate::State::kClosed) return;
-  gate = {StoreGate::State::kSeeking, cause, now + TurnDelay(higher_ranked), 0};
+  gate = {StoreGate::State::kSeeking, cause, now + TurnDelay(higher_ranked), 0, 0};
 }
 
 void CloseGate(StoreGate& gate) { gate = {}; }
@@ -35,7 +38,7 @@
 GateAction TakeAction(StoreGate& gate, std::size_t higher_ranked, Time now) {
   if (gate.state_ == StoreGate::State::kClosed || now < gate.next_at_) return GateAction::kNone;
   if (gate.state_ == StoreGate::State::kServed) return GateAction::kRead;
-  gate.next_at_ = now + ProbeInterval(higher_ranked);
+  gate.next_at_ = now + ProbeInterval(higher_ranked, gate.probes_++);
   return GateAction::kProbe;
 }
 
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -14,6 +14,7 @@
 // confirms that the store is reachable and still keeps the history that the other watches depend
 // on: the store may discard changes without ending a watch.
 constexpr FeedSettings kStoreConfigurationFeed = {
+    .list_timeout_ = std::chrono::milliseconds(600),
     .watch_wait_ = kConfirmationWait,
     .watch_timeout_margin_ = kConfirmationMargin,
     .watch_pause_ = kConfirmationPause,
@@ -48,20 +49,11 @@
 // Time for which a follower reads the store itself after its reader failed.
 constexpr Duration kDirectReadTime = std::chrono::seconds(1);
 // A probe is a stale read, which costs a tenth of a call and shows whether the store serves this
-// host. It is sent less often while this host follows a reader.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(700);
-// Interval of hosts that are not among the first ones to read the store. Such a host detects the
-// return of the store before it counts as served by it.
-constexpr Duration kLongProbeInterval = std::chrono::milliseconds(1400);
+// host. A host that follows a reader needs to know that only to replace one of less capacity.
 constexpr Duration kProbeIntervalFollowing = std::chrono::seconds(4);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(600);
-// Timeout of the first probe, and interval between it and the second one: a lost connection must
-// not use up the time in which a change has to take effect.
-constexpr Duration kFirstProbeTimeout = std::chrono::milliseconds(300);
 // Time in which a newly chosen reader has to confirm the content before this host probes the store.
 constexpr Duration kReaderResponseTime = std::chrono::milliseconds(300);
-// Interval at which old content is checked while a probe is awaited.
-constexpr Duration kMinContentCheckInterval = std::chrono::milliseconds(50);
 // Confirmations that follow each other faster are passed on together. Also ends the exchange
 // between two hosts that follow each other for a moment.
 constexpr Duration kMinConfirmationInterval = std::chrono::milliseconds(100);
@@ -78,6 +70,9 @@
 constexpr Duration kSecondHostListInterval = std::chrono::seconds(4);
 constexpr Duration kHostListInterval = std::chrono::seconds(30);
 
+// Cause of a change of the source: this host has far more capacity than the readers.
+constexpr std::string_view kCapacityCause = "capacity";
+
 std::string FormatMilliseconds(Duration duration) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
@@ -100,7 +95,7 @@
       evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)),
       on_reader_(std::move(on_reader)),
       content_age_timer_(g_main_context_get_thread_default(), [this] { CheckContentAge(Now()); }),
-      reader_timer_(g_main_context_get_thread_default(), [this] { SeekSource(Now()); }) {}
+      gate_timer_(g_main_context_get_thread_default(), [this] { RunGate(Now()); }) {}
 
 RecordFeed::Handler StoreSync::MakeFeedHandler(RecordKind kind) {
   return {[this, kind](const std::vector<StoredRecord>& records, Revision revision) {
@@ -122,13 +117,15 @@
   next_registration_ = state_.settings_.is_bootstrap_ ? now : Time::max();
   next_host_list_ = state_.settings_.is_bootstrap_ ? Time::max() : now;
   const auto start_feed = [this](RecordFeed& feed, FeedSettings settings) {
-    // After this pause the reader of the zone is known, so most hosts never watch the store.
-    settings.first_watch_pause_ = kFirstWatchPause;
+    settings.only_lists_ = true;
     feed.ReadFrom(store_, settings);
   };
   start_feed(configuration_feed_, kStoreConfigurationFeed);
   start_feed(target_feed_, kStoreFeed);
   start_feed(evacuation_feed_, kStoreFeed);
+  // After this time the reader of the zone is known, so most hosts never read more from the store.
+  RequestTurn(gate_, "start", 0, now + kFirstWatchPause);
+  RunGate(now);
 }
 
 void StoreSync::OnTick(const ZoneReaders& zone, Time now) {
@@ -141,7 +138,10 @@
     ListHosts({});
   }
   zone_ = zone;
-  if (!reaches_store_ && !is_probe_pending_ && now >= NextProbeTime(now)) ProbeStore(now);
+  if (!source_.empty() && !reaches_store_ && gate_.state_ == StoreGate::State::kClosed &&
+      now >= last_probe_ + kProbeIntervalFollowing) {
+    ProbeStore(now);
+  }
   CheckContentAge(now);
   SeekSource(now);
   ReportReaderState(now);
@@ -154,21 +154,20 @@
 
 void StoreSync::SeekSource(Time now) {
   if (now < read_store_until_) return;
-  if (!source_.empty() && reaches_store_ && ShouldReplaceReaders(Self(), zone_.readers_)) {
-    return ReadStoreDirectly("capacity", now);
+  if (!source_.empty() && reaches_store_) {
+    if (ShouldReplaceReaders(Self(), zone_.readers_)) {
+      RequestStore(kCapacityCause, now);
+      if (source_.empty()) return;
+    } else if (gate_.cause_ == kCapacityCause) {
+      CloseGate(gate_);
+    }
   }
-  // A host that the store serves tries one reader and then reads the store, so that the time until
-  // its content is confirmed does not depend on the number of readers.
-  const bool may_try_reader = !(reaches_store_ && IsContentOld(now) && HasTriedSource());
-  const std::string source = may_try_reader ? BestSource(now) : std::string();
+  const std::string source = BestSource(now);
   if (!source.empty()) {
     if (source != source_) UseSource(source, "ranking", now);
     return;
   }
-  if (!source_.empty()) return;
-  if (read_store_at_ != Time{} && now >= read_store_at_) {
-    return ReadStoreDirectly("no_reader", now);
-  }
+  if (!source_.empty() || is_reading_store_) return;
   // A process that starts while it cannot read the store tries the hosts listed in its settings.
   const auto& seeds = state_.settings_.seeds_;
   if (state_.configuration_ == nullptr && !reaches_store_ && !seeds.empty()) {
@@ -200,28 +199,36 @@
 }
 
 bool StoreSync::IsReader(Time now) const {
-  return source_.empty() && reaches_store_ && read_store_at_ == Time{} &&
-         configuration_feed_.HasSnapshot() && target_feed_.HasSnapshot() &&
-         evacuation_feed_.HasSnapshot() && ContentAge(now) <= kMaxContentAge;
-}
-
-bool StoreSync::HasTriedSource() const {
-  return unconfirmed_source_changes_ > 0 && confirmed_at_last_change_ == ConfirmedAt();
+  return is_reading_store_ && reaches_store_ && configuration_feed_.HasSnapshot() &&
+         target_feed_.HasSnapshot() && evacuation_feed_.HasSnapshot() &&
+         ContentAge(now) <= kMaxContentAge;
+}
+
+void StoreSync::RequestStore(std::string_view cause, Time now) {
+  if (is_reading_store_) return;
+  if (gate_.state_ == StoreGate::State::kClosed) {
+    RequestTurn(gate_, cause, zone_.higher_ranked_, now);
+    logging::LogEvent(logging::LogLevel::kInfo, "store_turn_awaited",
+                      {{"cause", std::string(cause)},
+                       {"source", source_.empty() ? "none" : source_},
+                       {"for_ms", FormatMilliseconds(gate_.next_at_ - now)},
+                       {"higher_ranked", std::to_string(zone_.higher_ranked_)}});
+  }
+  RunGate(now);
 }
 
-void StoreSync::AwaitReader(Time now) {
-  const Duration delay = DirectReadDelay(zone_.higher_ranked_);
-  logging::LogEvent(logging::LogLevel::kInfo, "reader_awaited",
-                    {{"from", source_.empty() ? "store" : source_},
-                     {"for_ms", FormatMilliseconds(delay)},
-                     {"higher_ranked", std::to_string(zone_.higher_ranked_)}});
-  if (delay == Duration{}) return ReadStoreDirectly("no_reader", now);
-  source_.clear();
-  source_since_ = now;
-  if (peer_store_ != nullptr) replaced_peer_stores_.push_back(std::move(peer_store_));
-  PauseFeeds();
-  read_store_at_ = now + delay;
-  reader_timer_.Set(read_store_at_);
+void StoreSync::RunGate(Time now) {
+  switch (TakeAction(gate_, zone_.higher_ranked_, now)) {
+    case GateAction::kNone:
+      break;
+    case GateAction::kProbe:
+      ProbeStore(now);
+      break;
+    case GateAction::kRead:
+      ReadStore(now);
+      break;
+  }
+  if (gate_.state_ != StoreGate::State::kClosed) gate_timer_.Set(gate_.next_at_);
 }
 
 void StoreSync::UseSource(const std::string& address, std::string_view cause, Time now) {
@@ -243,24 +250,28 @@
                      {"own_call_ms_ago", SinceLastOwnCall(now)}});
   source_ = address;
   source_since_ = now;
-  read_store_at_ = {};
+  is_reading_store_ = address.empty();
   if (peer_store_ != nullptr) replaced_peer_stores_.push_back(std::move(peer_store_));
-  if (address.empty()) return ReadStore();
+  if (address.empty()) {
+    // A list shows the latest configuration also while watches hear nothing.
+    configuration_feed_.RequestList();
+    configuration_feed_.ReadFrom(store_, kStoreConfigurationFeed);
+    target_feed_.ReadFrom(store_, kStoreFeed);
+    evacuation_feed_.ReadFrom(store_, kStoreFeed);
+    return;
+  }
   peer_store_ = std::make_unique<PeerRecordStore>(*parsed, format_);
   configuration_feed_.ReadFrom(*peer_store_, kPeerConfigurationFeed);
   target_feed_.ReadFrom(*peer_store_, kPeerFeed);
   evacuation_feed_.ReadFrom(*peer_store_, kPeerFeed);
 }
 
-void StoreSync::ReadStore() {
-  if (!reaches_store_) {
-    // Failed calls are billed too, so nothing is read until the store responds to an inexpensive
-    // probe.
-    return PauseFeeds();
-  }
-  configuration_feed_.ReadFrom(store_, kStoreConfigurationFeed);
-  target_feed_.ReadFrom(store_, kStoreFeed);
-  evacuation_feed_.ReadFrom(store_, kStoreFeed);
+void StoreSync::ReadStore(Time now) {
+  const std::string_view cause = gate_.cause_;
+  CloseGate(gate_);
+  // Which of the other hosts read the store is known again after this time.
+  read_store_until_ = now + kDirectReadTime;
+  UseSource({}, cause, now);
 }
 
 void StoreSync::PauseFeeds() {
@@ -270,56 +281,29 @@
 }
 
 void StoreSync::ProbeStore(Time now) {
-  is_probe_pending_ = true;
   last_probe_ = now;
-  store_.List(RecordKind::kEvacuation, {}, Consistency::kStale,
-              failed_probes_ == 0 ? kFirstProbeTimeout : kProbeTimeout,
-              [this](const StorePage& page) {
-                is_probe_pending_ = false;
-                OnProbeEnded(page.status_, Now());
-              });
+  store_.List(RecordKind::kEvacuation, {}, Consistency::kStale, kProbeTimeout,
+              [this, now](const StorePage& page) { OnProbeEnded(page.status_, now, Now()); });
 }
 
-Time StoreSync::NextProbeTime(Time now) const {
-  if (!source_.empty() && ContentAge(now) <= kMaxContentAge) {
-    return last_probe_ == Time{} ? now : last_probe_ + kProbeIntervalFollowing;
-  }
-  // Only a few hosts probe as soon as they have no source.
-  const Duration delay = DirectReadDelay(zone_.higher_ranked_);
-  Time next = OldSince(now) + delay;
-  if (source_.empty() && delay == Duration{}) next = now;
-  if (!source_.empty() && HasTriedSource())
-    next = std::max(next, source_since_ + kReaderResponseTime);
-  if (last_probe_ == Time{}) return next;
-  if (failed_probes_ == 1) return std::max(next, last_probe_ + kFirstProbeTimeout);
-  return std::max(next, last_probe_ + (delay == Duration{} ? kProbeInterval : kLongProbeInterval));
-}
-
-void StoreSync::OnProbeEnded(StoreStatus status, Time now) {
+void StoreSync::OnProbeEnded(StoreStatus status, Time sent_at, Time now) {
   OnOwnCallEnded(now);
   state_.metrics_.CountStoreCall("probe", NameOf(kStoreStatusNames, status));
   logging::LogEvent(logging::LogLevel::kInfo, "store_probed",
                     {{"status", std::string(NameOf(kStoreStatusNames, status))},
                      {"source", source_.empty() ? "store" : source_},
+                     {"took_ms", FormatMilliseconds(now - sent_at)},
                      {"confirmed_ms_ago", FormatMilliseconds(now - ConfirmedAt())}});
-  const bool is_content_old = IsContentOld(now);
-  if (status != StoreStatus::kOk) {
-    ++failed_probes_;
-    // A read that is in progress ends by its own timeout.
-    if (source_.empty()) return;
-    reaches_store_ = false;
-    return SeekSource(now);
-  }
-  const bool was_rejected = !std::exchange(reaches_store_, true);
-  failed_probes_ = 0;
-  if (was_rejected && (source_.empty() || is_content_old)) {
-    // The store has returned for other hosts too, and answers their pending probes at once.
-    const std::string source = BestSource(now);
-    if (source.empty()) return AwaitReader(now);
-    return UseSource(source, "ranking", now);
-  }
-  // A pending watch may wait on a dead connection.
-  if (is_content_old) LeaveReader(now);
+  const bool is_served = status == StoreStatus::kOk;
+  // An earlier probe may end after a later one.
+  if (!is_served && sent_at <= served_at_) return;
+  if (is_served) served_at_ = now;
+  // A read that is in progress ends by its own timeout.
+  if (is_reading_store_) return;
+  reaches_store_ = is_served;
+  SeekSource(now);
+  ApplyProbeResult(gate_, is_served, zone_.higher_ranked_, now);
+  RunGate(now);
 }
 
 bool StoreSync::IsContentOld(Time now) const {
@@ -339,36 +323,19 @@
     // The next check happens right after the age is exceeded.
     return content_age_timer_.Set(OldSince(now) + std::chrono::milliseconds(1));
   }
+  // The calls of a host that reads the store end by their own timeouts.
+  if (is_reading_store_) return;
   if (!source_.empty()) {
-    const bool is_awaiting_response = now < source_since_ + kReaderResponseTime;
-    if (!HasTriedSource() || !reaches_store_) {
-      left_sources_[source_] = OldSince(now);
+    const Time response_due = source_since_ + kReaderResponseTime;
+    if (now < response_due) {
+      content_age_timer_.Set(response_due);
+    } else {
+      Time& left = left_sources_[source_];
+      left = std::max({left, OldSince(now), source_since_});
       SeekSource(now);
-    } else if (!is_awaiting_response && !is_probe_pending_ && failed_probes_ == 0 &&
-               last_probe_ >= OldSince(now)) {
-      // The store has responded to a probe, and the reader that was tried has not.
-      return LeaveReader(now);
     }
   }
-  if (!is_probe_pending_ && now >= NextProbeTime(now)) ProbeStore(now);
-  Time next = NextProbeTime(now);
-  if (source_since_ + kReaderResponseTime > now) {
-    next = std::min(next, source_since_ + kReaderResponseTime);
-  }
-  content_age_timer_.Set(std::max(next, now + kMinContentCheckInterval));
-}
-
-void StoreSync::LeaveReader(Time now) {
-  const std::string source = HasTriedSource() ? std::string() : BestSource(now);
-  if (!source.empty()) return UseSource(source, "content_age", now);
-  ReadStoreDirectly("content_age", now);
-}
-
-void StoreSync::ReadStoreDirectly(std::string_view cause, Time now) {
-  // Which of the other hosts read the store is known again after this time.
-  if (reaches_store_) read_store_until_ = now + kDirectReadTime;
-  if (source_.empty() && read_store_at_ == Time{}) return ReadStore();
-  UseSource({}, cause, now);
+  RequestStore("content_age", now);
 }
 
 void StoreSync::ReportReaderState(Time now) {
@@ -588,9 +555,10 @@
   }
   if (source_.empty()) {
     reaches_store_ = true;
-    failed_probes_ = 0;
+    served_at_ = now;
   }
   if (kind != RecordKind::kConfiguration) return;
+  if (!source_.empty() && !IsContentOld(now) && gate_.cause_ != kCapacityCause) CloseGate(gate_);
   CheckContentAge(now);
   if (ContentAge(now) > kMaxConfirmationAge) {
     MarkStoreLost(StoreStatus::kUnreachable);
@@ -603,13 +571,21 @@
   if (!source_.empty()) {
     failed_sources_[source_] = now;
     const std::string source = BestSource(now);
-    if (source.empty()) return AwaitReader(now);
-    return UseSource(source, "source_failed", now);
+    if (!source.empty()) return UseSource(source, "source_failed", now);
+    source_.clear();
+    replaced_peer_stores_.push_back(std::move(peer_store_));
+    PauseFeeds();
+    return RequestStore("source_failed", now);
   }
   reaches_store_ = false;
+  is_reading_store_ = false;
   read_store_until_ = {};
   MarkStoreLost(status);
-  ReadStore();
+  // Failed calls are billed too, so nothing is read until the store responds to an inexpensive
+  // probe.
+  PauseFeeds();
+  SeekSource(now);
+  if (source_.empty()) RequestStore("store_failed", now);
 }
 
 void StoreSync::MarkStoreLost(StoreStatus status) {
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/record_exchange.h"
 #include "gateway/reader_choice.h"
 #include "gateway/record_feed.h"
+#include "gateway/store_gate.h"
 
 namespace monsoonshelf::gateway {
 
@@ -74,27 +75,23 @@
   std::string BestSource(Time now) const;
   // Changes to another source if there is a better one.
   void SeekSource(Time now);
-  // Returns whether another source was tried since the content was last confirmed.
-  bool HasTriedSource() const;
-  // Waits for the announcement of a reader, and reads the store if there is none.
-  void AwaitReader(Time now);
+  // Asks for a turn to read the store, unless it is being read.
+  void RequestStore(std::string_view cause, Time now);
+  // Makes the call to the store that is due.
+  void RunGate(Time now);
   // `cause` is the reason for the log.
   void UseSource(const std::string& address, std::string_view cause, Time now);
-  void ReadStore();
+  // Reads the store for a time in which no other source is chosen.
+  void ReadStore(Time now);
   void PauseFeeds();
   // Checks with an inexpensive call whether the store serves this host.
   void ProbeStore(Time now);
-  void OnProbeEnded(StoreStatus status, Time now);
-  Time NextProbeTime(Time now) const;
+  void OnProbeEnded(StoreStatus status, Time sent_at, Time now);
   bool IsContentOld(Time now) const;
   // Returns when the content becomes, or became, too old.
   Time OldSince(Time now) const;
-  // Probes the store if the content is too old.
+  // Looks for another source if the content is too old.
   void CheckContentAge(Time now);
-  // Follows an announced reader, or reads the store if that was tried before.
-  void LeaveReader(Time now);
-  // Reads the store for a time in which no other source is chosen.
-  void ReadStoreDirectly(std::string_view cause, Time now);
   // Reports that this host has become a reader, or is none any more.
   void ReportReaderState(Time now);
   void RestartTargetAndEvacuationFeeds();
@@ -135,8 +132,8 @@
   std::map<std::string, Time> failed_sources_;  // By address, when the last call to it failed.
   // By address: left at this time because of their old content, until the store confirms it again.
   std::map<std::string, Time> left_sources_;
-  // When this host reads the store if no reader is announced; zero if it does not wait for one.
-  Time read_store_at_{};
+  StoreGate gate_;
+  bool is_reading_store_ = false;  // Watches the store, as the only or as a further reader.
   bool is_reported_reader_ = false;
   std::size_t next_seed_ = 0;
   // Changes of the source since the content was last confirmed.
@@ -146,11 +143,10 @@
   Time store_calls_reported_at_{};
   Time last_own_call_{};  // Zero before the first one ended.
   bool reaches_store_ = true;
-  bool is_probe_pending_ = false;
-  Time last_probe_{};      // When the last probe was sent.
-  int failed_probes_ = 0;  // Since the last successful call of this host.
+  Time served_at_{};   // When the last successful call of this host to the store ended.
+  Time last_probe_{};  // When the last probe was sent.
   eventloop::Timer content_age_timer_;
-  eventloop::Timer reader_timer_;
+  eventloop::Timer gate_timer_;
   Time started_at_{};
   Time last_passed_on_{};    // Confirmation that the waiting followers were told last.
   Time read_store_until_{};  // Until then this host reads the store itself, without a reader.
--- a/src/gateway/reader_choice.h
+++ b/src/gateway/reader_choice.h
@@ -50,17 +50,12 @@
 // readers.
 bool ShouldReplaceReaders(const Reader& self, const std::vector<Reader>& readers);
 
-// Returns how long a host that needs a source waits for the announcement of another reader before
-// it reads the store. The number of hosts that read it at first does not depend on the size of the
-// zone; if the store does not serve these, more hosts follow at short intervals.
-Duration DirectReadDelay(std::size_t higher_ranked);
-
 // Content that the store confirmed longer ago than this may lack a change that must soon be in
 // effect, so the host needs another source. The age counts from the confirmation, however many
 // sources were tried since then. Covers one confirmation interval and the delay of a slow store.
-// The rest of the two seconds in which a change must take effect is for the wait for another
-// reader, a probe, its repetition if it gets no response, and a read.
-inline constexpr Duration kMaxContentAge = std::chrono::milliseconds(1200);
+// The rest of the two seconds in which a change must take effect is for the turn at the store, a
+// probe, its repetition if it gets no response, and a read; see StoreGate.
+inline constexpr Duration kMaxContentAge = std::chrono::milliseconds(1100);
 
 // Bound the time between two confirmations of a healthy reader: its watch of the configuration
 // returns after kConfirmationWait at the latest, and the next watch starts after
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -27,8 +27,8 @@
   Duration watch_timeout_margin_ = std::chrono::milliseconds(1000);
   // Pause between two watches, so that changes in quick succession cost only one call.
   Duration watch_pause_ = std::chrono::milliseconds(300);
-  // Pause between a list and the first watch.
-  Duration first_watch_pause_{};
+  // Does not watch after the list.
+  bool only_lists_ = false;
   // The first watch at a new source returns soon, with or without changes, to confirm the content.
   bool confirms_at_once_ = false;
   AfterFailedWatch after_failed_watch_ = AfterFailedWatch::kReport;
--- a/src/gateway/store_gate.h
+++ b/src/gateway/store_gate.h
@@ -21,7 +21,8 @@
   State state_ = State::kClosed;
   std::string_view cause_;  // Of the request, for the log.
   Time next_at_{};
-  int failed_probes_ = 0;  // Since the request.
+  int probes_ = 0;  // Since the request.
+  int failed_probes_ = 0;
 };
 
 enum class GateAction { kNone, kProbe, kRead };
@@ -39,8 +40,8 @@
 
 // Returns how long a host waits for its turn.
 Duration TurnDelay(std::size_t higher_ranked);
-// Returns the interval between two probes. Only few hosts have to notice the return of the store at
-// once; the others get its changes from them.
-Duration ProbeInterval(std::size_t higher_ranked);
+// Returns the interval to the next probe after `probes` earlier ones. Only few hosts have to notice
+// the return of the store at once; the others get its changes from them.
+Duration ProbeInterval(std::size_t higher_ranked, int probes);
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -11,6 +11,7 @@
 #include "gateway/reader_choice.h"
 #include "gateway/record_cache.h"
 #include "gateway/record_feed.h"
+#include "gateway/store_gate.h"
 #include "gateway/tests/mocks/mock_record_store.h"
 #include "gateway/zone_peers.h"
 #include "http/listener.h"
@@ -443,17 +444,31 @@
   // last one must still read the store in time, and the first ones also if a probe is lost.
   void LastHostOfALargeZoneReadsTheStoreInTime() {
     constexpr std::size_t kZoneHosts = 60;
-    constexpr Duration kTwoProbes = milliseconds(600);
+    constexpr std::size_t kHighRanked = 8;
     constexpr Duration kRead = milliseconds(100);
+    constexpr Duration kMaxChangeDelay = std::chrono::seconds(2);
     const Duration healthy_interval = kConfirmationWait + kConfirmationPause;
     CPPUNIT_ASSERT(kMaxContentAge >= healthy_interval + milliseconds(300));
+    CPPUNIT_ASSERT(kMaxContentAge >= healthy_interval + kConfirmationMargin + kRead);
     // The store is asked by ever more hosts, and by all of them in the end.
-    CPPUNIT_ASSERT(DirectReadDelay(0) == Duration{});
-    CPPUNIT_ASSERT(DirectReadDelay(12) > DirectReadDelay(11));
-    CPPUNIT_ASSERT(kMaxContentAge + DirectReadDelay(kZoneHosts - 1) + kRead <=
-                   std::chrono::seconds(2));
-    CPPUNIT_ASSERT(kMaxContentAge + DirectReadDelay(3) + kTwoProbes + kRead <=
-                   std::chrono::seconds(2));
+    CPPUNIT_ASSERT(TurnDelay(0) == Duration{});
+    CPPUNIT_ASSERT(TurnDelay(kHighRanked) > TurnDelay(kHighRanked - 1));
+    CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(kZoneHosts - 1, 0) + kRead <= kMaxChangeDelay);
+    CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(kHighRanked - 1, 1) + kRead <= kMaxChangeDelay);
+  }
+
+  // Returns the time from the request for a turn to the read.
+  static Duration TimeOfTurn(std::size_t higher_ranked, int lost_probes) {
+    constexpr Duration kProbeTime = milliseconds(50);
+    StoreGate gate;
+    const Time begin = Time{} + std::chrono::seconds(1);
+    RequestTurn(gate, "test", higher_ranked, begin);
+    for (Time now = begin;; now = gate.next_at_) {
+      const GateAction action = TakeAction(gate, higher_ranked, now);
+      if (action == GateAction::kRead) return now - begin;
+      if (action != GateAction::kProbe || lost_probes-- > 0) continue;
+      ApplyProbeResult(gate, true, higher_ranked, now + kProbeTime);
+    }
   }
 
   static Reader MakeReader(const HostName& name, int capacity) {
