gateway: a list is confirmed before it is passed on

Since a confirmation names its content, a list was confirmed after it was applied, and so its changes went to the followers with the age of the content before it. A list of the store confirms by itself, so it does so before it is applied, as events do. ListIsConfirmedBeforeItIsPassedOn fails without this.

--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -86,12 +86,15 @@
   // A stale list must not replace newer content; the watch delivers the changes after it. The same
   // holds for the list of a host that is behind; it confirms nothing unless it has the same
   // records.
-  if (listed_revision_ >= revision_) {
-    revision_ = listed_revision_;
-    handler_.on_snapshot_(listed_records_, revision_);
-  }
+  const bool is_current = listed_revision_ >= revision_;
+  revision_ = std::max(revision_, listed_revision_);
+  // Followers get the changes with the age of this response, so a list of the store confirms them
+  // before they are passed on.
+  const bool confirms = !page.is_stale_;
+  if (confirms && page.contents_.empty()) Confirm(page.age_);
+  if (is_current) handler_.on_snapshot_(listed_records_, revision_);
   listed_records_.clear();
-  if (!page.is_stale_ && HasContentOf(page.contents_)) Confirm(page.age_);
+  if (confirms && !page.contents_.empty() && HasContentOf(page.contents_)) Confirm(page.age_);
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
@@ -153,7 +156,7 @@
     return handler_.on_status_(events.status_);
   }
   revision_ = std::max(revision_, events.revision_);
-  // The followers of this host get the changes with the age of this response.
+  // As in OnPage.
   if (events.contents_.empty()) Confirm(events.age_);
   is_next_watch_short_ = false;
   history_gone_ = false;
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(StaleListDoesNotReplaceNewerContent);
   CPPUNIT_TEST(RetriesAfterRefusedCalls);
   CPPUNIT_TEST(StaleListDoesNotConfirmTheContent);
+  CPPUNIT_TEST(ListIsConfirmedBeforeItIsPassedOn);
   CPPUNIT_TEST(WatchThatFailsIsReplacedByAList);
   CPPUNIT_TEST(FailureOfTheSecondCallIsReported);
   CPPUNIT_TEST_SUITE_END();
@@ -237,6 +238,24 @@
     CPPUNIT_ASSERT(loop.RunUntil([&] { return observer.feed_.ConfirmedAt() > Time{}; }));
   }
 
+  // Guards against followers that get the first list after an outage with the age of the content
+  // before it, and then turn to the store although their reader has returned.
+  void ListIsConfirmedBeforeItIsPassedOn() {
+    Loop loop;
+    MockRecordStore store;
+    std::unique_ptr<RecordFeed> feed;
+    Time confirmed_at{};
+    RecordFeed::Handler handler;
+    handler.on_snapshot_ = [&](const std::vector<StoredRecord>& /*records*/,
+                               Revision /*revision*/) { confirmed_at = feed->ConfirmedAt(); };
+    handler.on_events_ = [](const std::vector<StoreEvent>& /*events*/, Revision /*revision*/) {};
+    handler.on_status_ = [](StoreStatus /*status*/) {};
+    feed = std::make_unique<RecordFeed>(RecordKind::kConfiguration, handler);
+    feed->RequestList();
+    feed->ReadFrom(store, kShortDelays);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return confirmed_at != Time{}; }));
+  }
+
   // Guards against a reader that waits for its watches while they hear nothing, and gives up its
   // source when they are cut, although the store answers other calls.
   void WatchThatFailsIsReplacedByAList() {
