gateway: a host that was cut off pings its peers at the short interval

Peers without messages for 4 s are pinged every 3 s. A host that was cut off from its zone lost all its peers, and in a zone of a few hosts it learned from them who reads the store up to 3 s after the end of the cut, when it already counts as in touch. Peers that do not respond now fill up the eight monitored ones if there are not enough others. HostThatWasCutOffFindsItsPeersSoon failed before (no ping 0.5 s after the last one).

--- a/src/gateway/internal/zone_peers.cc
+++ b/src/gateway/internal/zone_peers.cc
@@ -11,8 +11,8 @@
 
 using Json = nlohmann::json;
 
-// A peer without messages for this time no longer counts towards kMaxMonitoredPeers and is pinged
-// at the longer interval below.
+// A peer without messages for this time counts towards kMaxMonitoredPeers only if there are not
+// enough others, and is pinged at the longer interval below otherwise.
 constexpr Duration kUnresponsivePeerTimeout = std::chrono::seconds(4);
 // Monitored peers that are chosen by ReaderRank.
 constexpr std::size_t kMonitoredReaders = 2;
@@ -198,6 +198,15 @@
   std::vector<Peer*> unresponsive;
   for (auto& [name, peer] : peers.peers_)
     (IsUnresponsive(peer, now) ? unresponsive : monitored).push_back(&peer);
+  // A host that was cut off hears from its peers again as soon as it can reach one of them.
+  const HostName& self = peers.self_.name_;
+  std::sort(unresponsive.begin(), unresponsive.end(), [&self](const Peer* left, const Peer* right) {
+    return PairHash(self, left->record_.name_) < PairHash(self, right->record_.name_);
+  });
+  while (monitored.size() < kMaxMonitoredPeers && !unresponsive.empty()) {
+    monitored.push_back(unresponsive.back());
+    unresponsive.pop_back();
+  }
   if (monitored.size() > kMaxMonitoredPeers) {
     // All hosts monitor the same reader candidates, so that they agree on the reader.
     std::partial_sort(monitored.begin(), monitored.begin() + kMonitoredReaders, monitored.end(),
@@ -205,7 +214,6 @@
                         return ReaderRank(left->record_.name_, left->record_.capacity_) >
                                ReaderRank(right->record_.name_, right->record_.capacity_);
                       });
-    const HostName& self = peers.self_.name_;
     std::partial_sort(monitored.begin() + kMonitoredReaders, monitored.begin() + kMaxMonitoredPeers,
                       monitored.end(), [&self](const Peer* left, const Peer* right) {
                         return PairHash(self, left->record_.name_) <
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -557,6 +557,7 @@
   CPPUNIT_TEST(LimitsNumberOfMonitoredPeers);
   CPPUNIT_TEST(RejectsMalformedMessages);
   CPPUNIT_TEST(IgnoresUnreadableReaders);
+  CPPUNIT_TEST(HostThatWasCutOffFindsItsPeersSoon);
   CPPUNIT_TEST(ReadersArePassedOn);
   CPPUNIT_TEST(WithdrawnReaderStaysWithdrawn);
   CPPUNIT_TEST_SUITE_END();
@@ -621,6 +622,17 @@
     CPPUNIT_ASSERT(SelectPeersToPing(peers, AtMs(1100)).empty());
   }
 
+  // Guards against a host that pings its peers at a long interval after it was cut off from all of
+  // them, and so learns late which of them read the store.
+  void HostThatWasCutOffFindsItsPeersSoon() {
+    ZonePeers peers;
+    peers.self_ = Host("self");
+    for (const char* name : {"a", "b"}) AddOrUpdatePeer(peers, Host(name));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, SelectPeersToPing(peers, AtMs(1000)).size());
+    SelectPeersToPing(peers, AtMs(9000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, SelectPeersToPing(peers, AtMs(9500)).size());
+  }
+
   // A host knows the readers of its zone although it does not ping them.
   void ReadersArePassedOn() {
     ZonePeers middle;
