gateway: a zone that the store does not serve follows another zone

Callers were refused on routes that existed.

A host whose probes fail, and that finds no reader in its zone, now follows the highest-ranked host of another zone and announces itself as a reader, so that its zone follows it. At first only the two highest-ranked hosts of the zone do so (0.4 s after their request for a turn), then six more, further ones never. It probes the store every second and returns to it through the gate. The age of the content counts over both zones as before.

--- a/src/gateway/internal/store_gate.cc
+++ b/src/gateway/internal/store_gate.cc
@@ -12,6 +12,10 @@
 // Interval of the hosts of low rank, after the first probes.
 constexpr Duration kLongProbeInterval = std::chrono::milliseconds(800);
 constexpr int kFrequentProbes = 2;
+// Time after a request in which a host of the own zone may become a reader.
+constexpr Duration kOwnZoneTime = std::chrono::milliseconds(400);
+// After this time, the hosts of the second turn follow another zone too. Further ones never do.
+constexpr Duration kSecondOtherZoneTurn = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -30,7 +34,15 @@
 
 void RequestTurn(StoreGate& gate, std::string_view cause, std::size_t higher_ranked, Time now) {
   if (gate.state_ != StoreGate::State::kClosed) return;
-  gate = {StoreGate::State::kSeeking, cause, now + TurnDelay(higher_ranked), 0, 0};
+  gate = {StoreGate::State::kSeeking, cause, now, now + TurnDelay(higher_ranked), 0, 0};
+}
+
+bool ShouldFollowOtherZone(const StoreGate& gate, std::size_t higher_ranked, Time now) {
+  if (gate.state_ != StoreGate::State::kSeeking || gate.failed_probes_ == 0) return false;
+  const Duration turn = TurnDelay(higher_ranked);
+  if (turn > kTurnInterval) return false;
+  const Duration wait = turn == Duration{} ? kOwnZoneTime : kOwnZoneTime + kSecondOtherZoneTurn;
+  return now >= gate.requested_at_ + wait;
 }
 
 void CloseGate(StoreGate& gate) { gate = {}; }
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -51,6 +51,8 @@
 // A probe is a stale read, which costs a tenth of a call and shows whether the store serves this
 // host. A host that follows a reader needs to know that only to replace one of less capacity.
 constexpr Duration kProbeIntervalFollowing = std::chrono::seconds(4);
+// Bytes between zones are billed, and the zone of this host has no other reader.
+constexpr Duration kProbeIntervalOtherZone = std::chrono::seconds(1);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(600);
 // Time in which a newly chosen reader has to confirm the content before this host probes the store.
 constexpr Duration kReaderResponseTime = std::chrono::milliseconds(300);
@@ -138,8 +140,10 @@
     ListHosts({});
   }
   zone_ = zone;
+  const Duration probe_interval =
+      follows_other_zone_ ? kProbeIntervalOtherZone : kProbeIntervalFollowing;
   if (!source_.empty() && !reaches_store_ && gate_.state_ == StoreGate::State::kClosed &&
-      now >= last_probe_ + kProbeIntervalFollowing) {
+      now >= last_probe_ + probe_interval) {
     ProbeStore(now);
   }
   CheckContentAge(now);
@@ -155,7 +159,10 @@
 void StoreSync::SeekSource(Time now) {
   if (now < read_store_until_) return;
   if (!source_.empty() && reaches_store_) {
-    if (ShouldReplaceReaders(Self(), zone_.readers_)) {
+    if (follows_other_zone_) {
+      RequestStore("other_zone_left", now);
+      if (source_.empty()) return;
+    } else if (ShouldReplaceReaders(Self(), zone_.readers_)) {
       RequestStore(kCapacityCause, now);
       if (source_.empty()) return;
     } else if (gate_.cause_ == kCapacityCause) {
@@ -199,9 +206,9 @@
 }
 
 bool StoreSync::IsReader(Time now) const {
-  return is_reading_store_ && reaches_store_ && configuration_feed_.HasSnapshot() &&
-         target_feed_.HasSnapshot() && evacuation_feed_.HasSnapshot() &&
-         ContentAge(now) <= kMaxContentAge;
+  return (follows_other_zone_ || (is_reading_store_ && reaches_store_)) &&
+         configuration_feed_.HasSnapshot() && target_feed_.HasSnapshot() &&
+         evacuation_feed_.HasSnapshot() && ContentAge(now) <= kMaxContentAge;
 }
 
 void StoreSync::RequestStore(std::string_view cause, Time now) {
@@ -217,12 +224,31 @@
   RunGate(now);
 }
 
+void StoreSync::FollowOtherZone(Time now) {
+  const HostRecord* best = nullptr;
+  for (const auto& [name, host] : hosts_of_other_zones_) {
+    const auto failed = failed_sources_.find(host.control_address_);
+    if (failed != failed_sources_.end() && now < failed->second + kFailedSourceBackoff) continue;
+    if (best == nullptr ||
+        ReaderRank(name, host.capacity_) > ReaderRank(best->name_, best->capacity_)) {
+      best = &host;
+    }
+  }
+  if (best == nullptr) return;
+  UseSource(best->control_address_, "other_zone", now);
+  follows_other_zone_ = source_ == best->control_address_;
+}
+
 void StoreSync::RunGate(Time now) {
   switch (TakeAction(gate_, zone_.higher_ranked_, now)) {
     case GateAction::kNone:
       break;
     case GateAction::kProbe:
       ProbeStore(now);
+      if (!follows_other_zone_ && ShouldFollowOtherZone(gate_, zone_.higher_ranked_, now) &&
+          BestSource(now).empty()) {
+        FollowOtherZone(now);
+      }
       break;
     case GateAction::kRead:
       ReadStore(now);
@@ -251,6 +277,7 @@
   source_ = address;
   source_since_ = now;
   is_reading_store_ = address.empty();
+  follows_other_zone_ = false;
   if (peer_store_ != nullptr) replaced_peer_stores_.push_back(std::move(peer_store_));
   if (address.empty()) {
     // A list shows the latest configuration also while watches hear nothing.
@@ -332,6 +359,7 @@
     } else {
       Time& left = left_sources_[source_];
       left = std::max({left, OldSince(now), source_since_});
+      if (follows_other_zone_) return OnSourceFailed(StoreStatus::kUnreachable, now);
       SeekSource(now);
     }
   }
@@ -558,7 +586,10 @@
     served_at_ = now;
   }
   if (kind != RecordKind::kConfiguration) return;
-  if (!source_.empty() && !IsContentOld(now) && gate_.cause_ != kCapacityCause) CloseGate(gate_);
+  if (!source_.empty() && !IsContentOld(now) && gate_.cause_ != kCapacityCause &&
+      !(follows_other_zone_ && reaches_store_)) {
+    CloseGate(gate_);
+  }
   CheckContentAge(now);
   if (ContentAge(now) > kMaxConfirmationAge) {
     MarkStoreLost(StoreStatus::kUnreachable);
@@ -573,6 +604,7 @@
     const std::string source = BestSource(now);
     if (!source.empty()) return UseSource(source, "source_failed", now);
     source_.clear();
+    follows_other_zone_ = false;
     replaced_peer_stores_.push_back(std::move(peer_store_));
     PauseFeeds();
     return RequestStore("source_failed", now);
@@ -676,6 +708,7 @@
       if (host == nullptr) continue;
       if (host->name_ == self_.name_) OnOwnHostRecord(*host, record.revision_);
       hosts_.insert(host->name_);
+      if (host->zone_ != self_.zone_) hosts_of_other_zones_[host->name_] = *host;
       on_host_(*host);
     }
     if (page.has_more_ && !page.records_.empty()) return ListHosts(page.records_.back().name_);
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -77,6 +77,8 @@
   void SeekSource(Time now);
   // Asks for a turn to read the store, unless it is being read.
   void RequestStore(std::string_view cause, Time now);
+  // Follows a host of another zone while the store serves no host of this one.
+  void FollowOtherZone(Time now);
   // Makes the call to the store that is due.
   void RunGate(Time now);
   // `cause` is the reason for the log.
@@ -132,6 +134,8 @@
   std::map<std::string, Time> failed_sources_;  // By address, when the last call to it failed.
   // By address: left at this time because of their old content, until the store confirms it again.
   std::map<std::string, Time> left_sources_;
+  std::map<HostName, HostRecord> hosts_of_other_zones_;
+  bool follows_other_zone_ = false;
   StoreGate gate_;
   bool is_reading_store_ = false;  // Watches the store, as the only or as a further reader.
   bool is_reported_reader_ = false;
--- a/src/gateway/store_gate.h
+++ b/src/gateway/store_gate.h
@@ -20,6 +20,7 @@
   };
   State state_ = State::kClosed;
   std::string_view cause_;  // Of the request, for the log.
+  Time requested_at_{};
   Time next_at_{};
   int probes_ = 0;  // Since the request.
   int failed_probes_ = 0;
@@ -38,6 +39,10 @@
 // Applies the result of a probe.
 void ApplyProbeResult(StoreGate& gate, bool is_served, std::size_t higher_ranked, Time now);
 
+// Returns whether the store does not serve this host, and it should follow a host of another zone.
+// Few hosts of the zone do so at first; the others follow these.
+bool ShouldFollowOtherZone(const StoreGate& gate, std::size_t higher_ranked, Time now);
+
 // Returns how long a host waits for its turn.
 Duration TurnDelay(std::size_t higher_ranked);
 // Returns the interval to the next probe after `probes` earlier ones. Only few hosts have to notice
--- a/src/gateway/tests/mocks/gateway_zone.h
+++ b/src/gateway/tests/mocks/gateway_zone.h
@@ -59,13 +59,14 @@
   }
 
   // Starts one host for each capacity, and waits until all of them serve and know their reader.
-  void Start(const std::vector<int>& capacities) {
+  // They are in one zone unless `zones` has the zone of each.
+  void Start(const std::vector<int>& capacities, const std::vector<std::string>& zones = {}) {
     PutVersion();
     for (std::size_t i = 0; i < capacities.size(); ++i) {
       hosts_.push_back(std::make_unique<Host>(Host{{}, store_.AddView(), {}, {}}));
       Host& host = *hosts_.back();
       host.settings_.name_ = "host-" + std::to_string(i);
-      host.settings_.zone_ = "z";
+      host.settings_.zone_ = zones.empty() ? "z" : zones[i];
       host.settings_.is_bootstrap_ = true;
       host.settings_.capacity_ = capacities[i];
       StartHost(host);
--- a/src/gateway/tests/zone_records_test.cc
+++ b/src/gateway/tests/zone_records_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(ChangeIsInEffectInTimeIfTheFirstCallToTheStoreIsLost);
   CPPUNIT_TEST(ChangeIsInEffectInTimeAfterASilentOutage);
   CPPUNIT_TEST(RestartedReaderIsFollowedBySoleRejectedHost);
+  CPPUNIT_TEST(ZoneThatTheStoreRejectsFollowsAnotherZone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -106,6 +107,32 @@
                            delay <= kSettlingTime);
   }
 
+  // Guards against a zone whose configuration grows old for as long as the store rejects its hosts,
+  // while hosts of another zone have the content. Few hosts may read between the zones.
+  void ZoneThatTheStoreRejectsFollowsAnotherZone() {
+    zone_->Start({30, 29, 28, 27, 26}, {"y", "y", "z", "z", "z"});
+    zone_->loop_.RunFor(milliseconds(4500));  // The second list of hosts has those of all zones.
+    const std::vector<std::size_t> rejected = {2, 3, 4};
+    for (const std::size_t i : rejected) zone_->hosts_[i]->view_.SetAccess(Access::kRefused);
+    for (int change = 0; change < 3; ++change) {
+      zone_->PutVersion();
+      const auto changed_at = Now();
+      for (const std::size_t i : rejected) {
+        CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return zone_->HasVersion(*zone_->hosts_[i]); }));
+      }
+      const auto delay = std::chrono::duration_cast<milliseconds>(Now() - changed_at);
+      CPPUNIT_ASSERT_MESSAGE("in effect after " + std::to_string(delay.count()) + " ms",
+                             delay <= kSettlingTime);
+      zone_->loop_.RunFor(milliseconds(1000));
+    }
+    for (const std::size_t i : rejected) zone_->hosts_[i]->view_.SetAccess(Access::kServed);
+    zone_->loop_.RunFor(milliseconds(2500));
+    const int reads = zone_->hosts_[2]->view_.reads_;
+    zone_->loop_.RunFor(milliseconds(1500));
+    CPPUNIT_ASSERT_MESSAGE("the zone does not read the store again",
+                           zone_->hosts_[2]->view_.reads_ > reads);
+  }
+
  private:
   // Starts hosts in the order of their rank as readers.
   void StartHosts(int count) {
