--- a/src/gateway/reader_choice.h
+++ b/src/gateway/reader_choice.h
@@ -63,6 +63,6 @@
 // confirms the content instead, before it becomes too old.
 inline constexpr Duration kConfirmationWait = std::chrono::milliseconds(600);
 inline constexpr Duration kConfirmationPause = std::chrono::milliseconds(150);
-inline constexpr Duration kConfirmationMargin = std::chrono::milliseconds(250);
+inline constexpr Duration kConfirmationMargin = std::chrono::milliseconds(200);
 
 }  // namespace monsoonshelf::gateway
