--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -19,6 +19,17 @@
 
 namespace monsoonshelf::gateway {
 
+namespace detail {
+
+// Cause of a change of the source: this host has far more capacity than the readers.
+inline constexpr std::string_view kCapacityCause = "capacity";
+
+inline std::string FormatMilliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace detail
+
 // Synchronizes the state of a gateway with the store, which is read directly or through another
 // entry host of the zone. Registers this host in the store, and detects when the source of the
 // records becomes unavailable and available again.
@@ -86,6 +97,8 @@
   // Reads the store for a time in which no other source is chosen.
   void ReadStore(Time now);
   void PauseFeeds();
+  // Finds out whether the store serves this host again, which then may become a reader.
+  void ProbeWhileFollowing(Time now);
   // Checks with an inexpensive call whether the store serves this host.
   void ProbeStore(Time now);
   void OnProbeEnded(StoreStatus status, Time sent_at, Time now);
--- a/src/gateway/store_gate.h
+++ b/src/gateway/store_gate.h
@@ -10,8 +10,8 @@
 // Decides when a host that has no source, or whose source no longer confirms its content, reads the
 // store. All hosts of an availability zone see the loss of their reader, and the return of the
 // store, at the same moment; each of them waits for its turn by its rank, so that the number of
-// hosts that read the store does not grow with the zone. A host that finds a reader meanwhile gives
-// its turn up. Pure logic: the caller makes the calls and passes the time in.
+// hosts that read the store does not grow with the zone. A host that finds a reader before its turn
+// gives it up. Pure logic: the caller makes the calls and passes the time in.
 struct StoreGate {
   enum class State {
     kClosed,   // The store is not needed, or is being read.
