gateway: a failed watch of the configuration restarts the other watches

Since a failed watch of the configuration is replaced by a list, the configuration no longer meets the loss of history itself. That loss was the sign at which targets and evacuations were watched again, since the store can drop its history without an end of their watches. A list that replaces a failed watch, and the first watch that succeeds after it (a short one, so that it follows soon), now restart the other two.

EvacuationIsInEffectInTimeIfItsWatchOutlivesACompaction fails without the restart.

--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -94,6 +94,12 @@
   if (confirms && page.contents_.empty()) Confirm(page.age_);
   if (is_current) handler_.on_snapshot_(listed_records_, revision_);
   listed_records_.clear();
+  if (was_second_call) {
+    // The watches may still hear nothing. A short one shows when that has ended.
+    is_after_failed_watch_ = true;
+    is_next_watch_short_ = true;
+    ReportGap();
+  }
   if (confirms && !page.contents_.empty() && HasContentOf(page.contents_)) Confirm(page.age_);
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
@@ -170,6 +176,7 @@
     // The timer that was set above lists the records.
     needs_list_ = true;
   }
+  if (std::exchange(is_after_failed_watch_, false)) ReportGap();
   handler_.on_status_(StoreStatus::kOk);
 }
 
@@ -177,6 +184,10 @@
   return contents.empty() || handler_.on_contents_ == nullptr || handler_.on_contents_(contents);
 }
 
+void RecordFeed::ReportGap() {
+  if (handler_.on_gap_ != nullptr) handler_.on_gap_();
+}
+
 void RecordFeed::Confirm(Duration age) {
   confirmed_at_ = std::max(confirmed_at_, Now() - age);
   if (handler_.on_confirmed_ != nullptr) handler_.on_confirmed_(revision_);
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -58,6 +58,10 @@
           },
           [this, kind](StoreStatus status) { OnStatus(kind, status); },
           [this, kind](const ContentVersions& contents) { return OnContents(kind, contents); },
+          // The store may drop its history without an end of the other watches.
+          kind == RecordKind::kConfiguration
+              ? std::function<void()>([this] { RestartTargetAndEvacuationFeeds(); })
+              : nullptr,
           [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); }};
 }
 
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -54,6 +54,9 @@
     // host holds the same records of the kind. Otherwise the response confirms nothing, and the
     // records are listed. May be empty.
     std::function<bool(const ContentVersions&)> on_contents_;
+    // Called when watches of other kinds may have missed changes too: a list has replaced a failed
+    // watch, or the first watch after that has succeeded. May be empty.
+    std::function<void()> on_gap_;
     // Receives the revision up to which the source has confirmed the content. May be empty.
     std::function<void(Revision)> on_confirmed_;
   };
@@ -87,6 +90,7 @@
   // Returns whether the response, which was applied, describes the content of this host.
   bool HasContentOf(const ContentVersions& contents) const;
   void Confirm(Duration age);
+  void ReportGap();
 
   IRecordStore* store_ = nullptr;
   RecordKind kind_;
@@ -95,9 +99,10 @@
   eventloop::Timer timer_;
   bool has_snapshot_ = false;
   bool needs_list_ = true;
-  bool is_second_call_ = false;       // The last watch failed, and its failure is not reported yet.
-  bool history_gone_ = false;         // The last watch failed with kHistoryGone.
-  bool is_next_watch_short_ = false;  // Use a short wait to confirm the content soon.
+  bool is_second_call_ = false;  // The last watch failed, and its failure is not reported yet.
+  bool is_after_failed_watch_ = false;  // A list has replaced a failed watch; none succeeded since.
+  bool history_gone_ = false;           // The last watch failed with kHistoryGone.
+  bool is_next_watch_short_ = false;    // Use a short wait to confirm the content soon.
   // Increases when pending calls are abandoned. Responses to calls of an earlier generation are
   // ignored.
   std::uint64_t generation_ = 0;
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -181,11 +182,15 @@
 
   // Until EndCompaction, watches get no response.
   void BeginCompaction() { are_watches_silent_ = true; }
-  // Drops the history and resets the waiting watches.
-  void EndCompaction() {
+  // Drops the history and resets the waiting watches, those of one kind only if `only` names it.
+  // The other ones then get no response.
+  void EndCompaction(std::optional<RecordKind> only = std::nullopt) {
     are_watches_silent_ = false;
     for (const auto& view : views_) {
-      for (View::PendingCall& call : view->pending_) call.is_reset_ = call.after_ >= 0;
+      for (View::PendingCall& call : view->pending_) {
+        if (call.after_ < 0) continue;
+        (!only || call.kind_ == *only ? call.is_reset_ : call.is_lost_) = true;
+      }
     }
     history_begin_ = revision_;
     for (const auto& view : views_) view->SetTimer();
--- a/src/gateway/tests/zone_records_test.cc
+++ b/src/gateway/tests/zone_records_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/internal/record_exchange.h"
 #include "gateway/tests/mocks/gateway_zone.h"
 
 namespace monsoonshelf::gateway {
@@ -22,6 +23,12 @@
 // For this time after a disturbance has ended, no bound holds for the hosts that it affected.
 constexpr Duration kSettlingTime = std::chrono::seconds(3);
 
+struct TextFormat : IRecordFormat {
+  StoredRecord ReadRecord(RecordKind /*kind*/, const std::string& text) const override {
+    return {"main", 0, {}, {}, text};
+  }
+};
+
 }  // namespace
 
 // Tests how the entry hosts of one zone get changes of the records, on real sockets, with a store
@@ -34,6 +41,7 @@
   CPPUNIT_TEST(ChangeIsInEffectInTimeIfTheFirstCallToTheStoreIsLost);
   CPPUNIT_TEST(ChangeIsInEffectInTimeAfterASilentOutage);
   CPPUNIT_TEST(RestartedReaderIsFollowedBySoleRejectedHost);
+  CPPUNIT_TEST(EvacuationIsInEffectInTimeIfItsWatchOutlivesACompaction);
   CPPUNIT_TEST(ZoneThatTheStoreRejectsFollowsAnotherZone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +115,34 @@
                            delay <= kSettlingTime);
   }
 
+  // Guards against an evacuation that is missed because only the watch of the configuration is cut
+  // when the store compacts its history.
+  void EvacuationIsInEffectInTimeIfItsWatchOutlivesACompaction() {
+    StartHosts(2);
+    zone_->store_.BeginCompaction();
+    zone_->loop_.RunFor(milliseconds(100));
+    zone_->store_.Put(RecordKind::kEvacuation, {"main", 0, {}, {}, "1"});
+    const Time evacuated_at = Now();
+    zone_->loop_.RunFor(milliseconds(900));
+    zone_->store_.EndCompaction(RecordKind::kConfiguration);
+    for (const auto& host : zone_->hosts_) {
+      const TextFormat format;
+      PeerRecordStore records(*ParseAddress(host->settings_.control_address_), format);
+      std::size_t count = 0;
+      CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] {
+        bool is_done = false;
+        records.List(RecordKind::kEvacuation, {}, Consistency::kLatest, milliseconds(1000),
+                     [&](const StorePage& page) {
+                       count = page.records_.size();
+                       is_done = true;
+                     });
+        CPPUNIT_ASSERT(zone_->loop_.RunUntil([&] { return is_done; }));
+        return count == 1;
+      }));
+      CPPUNIT_ASSERT(Now() - evacuated_at <= kSettlingTime);
+    }
+  }
+
   // Guards against a zone whose configuration grows old for as long as the store rejects its hosts,
   // while hosts of another zone have the content. Few hosts may read between the zones.
   void ZoneThatTheStoreRejectsFollowsAnotherZone() {
