gateway: a killed host of the tests drops its calls to the store

KilledReaderMakesFewHostsReadTheStore, which doesn't run with the sanitizers, had the same fault. The store of the program outlives the gateway's event loop.

--- a/src/gateway/tests/large_zone_test.cc
+++ b/src/gateway/tests/large_zone_test.cc
@@ -76,7 +76,7 @@
   void KilledReaderMakesFewHostsReadTheStore() {
     const std::size_t reader = ReaderIndex();
     CountReads();
-    zone_->hosts_[reader]->gateway_.reset();
+    GatewayZone::Kill(*zone_->hosts_[reader]);
     ExpectChangeInTime({reader});
     ExpectFewReaders();
   }
--- a/src/gateway/tests/mocks/gateway_zone.h
+++ b/src/gateway/tests/mocks/gateway_zone.h
@@ -50,9 +50,14 @@
     Incarnation incarnation_ = 1;
   };
 
-  // Ends a process without notice and starts it again.
-  void Restart(Host& host) {
+  // Ends a process without notice.
+  static void Kill(Host& host) {
     host.gateway_.reset();
+    host.view_.DropPendingCalls();
+  }
+
+  void Restart(Host& host) {
+    Kill(host);
     ++host.incarnation_;
     OpenGateway(host);
     CPPUNIT_ASSERT(host.gateway_ != nullptr);
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -32,6 +32,8 @@
     explicit View(SharedStore& store)
         : store_(store), timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
 
+    // The process that made the pending calls has ended.
+    void DropPendingCalls() { pending_.clear(); }
     // Calls that are pending get no response, as on connections that died.
     void LosePendingCalls() {
       for (PendingCall& call : pending_) call.is_lost_ = true;
