--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -118,15 +118,15 @@
 
   void OnBody(std::string& body) override {
     received_bytes_ += body.size();
-    if (call_.connection_ == nullptr) {
+    if (call_.exchange_ == nullptr) {
       // The caller has left, and the request goes on only because it is not idempotent.
       body_ = {};
       return body.clear();
     }
     if (streamed_) {
-      call_.connection_->WriteChunk(body);
+      call_.exchange_->WriteChunk(body);
       body.clear();
-      if (call_.connection_->UnsentBytes() > kMaxUnsentBytes) connection_->PauseReading(true);
+      if (call_.exchange_->UnsentBytes() > kMaxUnsentBytes) PauseReading(true);
       return;
     }
     if (IsUsable()) body_.append(body);
@@ -147,6 +147,11 @@
     call_.OnAttemptFailed(*this, sent ? NameOf(http::kFailureNames, failure) : "not_sent");
   }
 
+  void PauseReading(bool paused) {
+    paused_ = paused;
+    connection_->PauseReading(paused);
+  }
+
   // Returns whether the response is a success that may be forwarded unchanged.
   bool IsForwardable() const {
     return head_.status_ >= 200 && head_.status_ < 300 && response_.is_signed_ &&
@@ -174,13 +179,14 @@
   Time give_up_at_ = Time::max();
   bool complete_ = false;
   bool streamed_ = false;
+  bool paused_ = false;  // Reading waits for the caller, or for the turn of the response.
 };
 
-Call::Call(GatewayState& state, ICallOwner& owner, http::ServerConnectionPtr connection,
+Call::Call(GatewayState& state, ICallOwner& owner, http::ServerExchangePtr exchange,
            http::Request request)
     : state_(state),
       owner_(owner),
-      connection_(std::move(connection)),
+      exchange_(std::move(exchange)),
       request_(std::move(request)),
       timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
 
@@ -207,6 +213,7 @@
       (!IsIdempotent(route_->kind_) || now > state_.accepts_long_until_)) {
     return RespondWithError(503, EndReason::kStopping, Duration(0), now);
   }
+  if (IsIdempotent(route_->kind_)) exchange_->AllowOverlap();
   service_ = SelectService(state_.traffic_split_, *route_);
   CreditRetryBudget(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_, now);
   StartSelection(SendPurpose::kFirst, now);
@@ -482,25 +489,42 @@
 }
 
 // A download may take longer than its deadline, and the silence of a target must not end a response
-// before the deadline. After it, a response without any progress would keep the request for ever.
+// before the deadline. After it, a response without any progress would keep the request for ever,
+// and so would an endless one the responses behind it.
 void Call::OnStreamDeadline(Time now) {
   Attempt& attempt = *attempts_.front();
-  const auto position = std::make_pair(attempt.received_bytes_, connection_->UnsentBytes());
+  const bool has_turn = exchange_->IsFirst();
+  if (has_turn && exchange_->HasFollowers()) {
+    CancelAttempts();
+    return BreakOffResponse(EndReason::kTimedOut, now);
+  }
+  const auto position = std::make_pair(attempt.received_bytes_, exchange_->UnsentBytes());
   if (position != last_stream_position_) {
     last_stream_position_ = position;
     deadline_ = now + state_.settings_.stream_stall_timeout_;
     return SetTimer();
   }
-  if (connection_->UnsentBytes() == 0) {
+  const bool reads_target = has_turn ? exchange_->UnsentBytes() == 0 : !attempt.paused_;
+  if (reads_target) {
     attempt.connection_->Cancel();
     return OnAttemptFailed(attempt, "stalled");
   }
+  if (!has_turn) {
+    // The response waits for the ones before it, not for its target.
+    deadline_ = now + state_.settings_.stream_stall_timeout_;
+    return SetTimer();
+  }
   // The caller does not read.
   CancelAttempts();
-  connection_->Abort();
+  exchange_->CloseConnection();
   Finish(0, EndReason::kTimedOut, now);
 }
 
+void Call::BreakOffResponse(EndReason reason, Time now) {
+  exchange_->Abort();
+  Finish(0, reason, now);
+}
+
 void Call::CountTargetTimeout(TargetState& target, Duration duration, Time now) {
   // If the deadline was too short from the start, the timeout is not a failure of the target.
   if (duration < MakePlacementInputs().service_time_ * 3) return;
@@ -519,8 +543,8 @@
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
     CancelAttempts();
-    if (connection_ == nullptr) return Finish(status, EndReason::kCallerGone, now);
-    connection_->EndChunkedResponse();
+    if (exchange_ == nullptr) return Finish(status, EndReason::kCallerGone, now);
+    exchange_->EndChunkedResponse();
     return Finish(status, EndReason::kAnswered, now);
   }
   if (attempt.IsForwardable()) {
@@ -566,11 +590,13 @@
   }
   const bool streamed = attempt.streamed_;
   RemoveAttempt(attempt);
-  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
+  if (exchange_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   if (streamed) {
-    connection_->Abort();
-    CancelAttempts();
-    return Finish(0, EndReason::kTargetFailed, now);
+    if (!exchange_->Retract()) {
+      CancelAttempts();
+      return BreakOffResponse(EndReason::kTargetFailed, now);
+    }
+    streaming_ = false;
   }
   if (!attempts_.empty() || selecting_) return;  // Another attempt is in progress.
   RetryOrFail(now);
@@ -621,10 +647,11 @@
   hedge_at_ = Time::max();
   if (selecting_) EndSelection();
   CancelAttempts(&attempt);
-  connection_->BeginChunkedResponse(attempt.head_.status_,
-                                    state_.format_.HeadersForCaller(attempt.head_));
-  connection_->WriteChunk(attempt.body_);
+  exchange_->BeginChunkedResponse(attempt.head_.status_,
+                                  state_.format_.HeadersForCaller(attempt.head_));
+  exchange_->WriteChunk(attempt.body_);
   attempt.body_ = {};
+  if (exchange_->UnsentBytes() > kMaxUnsentBytes) attempt.PauseReading(true);
   SetTimer();
 }
 
@@ -633,19 +660,19 @@
   RemoveAttempt(attempt);
   CancelAttempts();
   if (selecting_) EndSelection();
-  if (connection_ == nullptr) return Finish(attempt.head_.status_, EndReason::kCallerGone, now);
-  connection_->Respond(attempt.head_.status_, state_.format_.HeadersForCaller(attempt.head_),
-                       attempt.body_);
+  if (exchange_ == nullptr) return Finish(attempt.head_.status_, EndReason::kCallerGone, now);
+  exchange_->Respond(attempt.head_.status_, state_.format_.HeadersForCaller(attempt.head_),
+                     attempt.body_);
   Finish(attempt.head_.status_, EndReason::kAnswered, now);
 }
 
 void Call::RespondWithError(int status, EndReason reason, Duration retry_after, Time now) {
-  if (connection_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
+  if (exchange_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
   headers.emplace_back("Content-Type", "text/plain");
   if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
   retry_after_ = retry_after;
-  connection_->Respond(status, headers, NameOf(kEndReasonNames, reason));
+  exchange_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   Finish(status, reason, now);
 }
 
@@ -659,42 +686,53 @@
   const std::string_view outcome = status == 0 ? "none" : status < 400 ? "served" : "failed";
   state_.metrics_.CountRequest(service_, outcome, NameOf(kEndReasonNames, reason));
   state_.metrics_.ObserveDurations(service_, total, waiting, time_at_target_);
-  const bool served = reason == EndReason::kAnswered && status < 400;
   if (reason == EndReason::kAnswered) RecordAnswered(Service().recent_requests_, now);
   if (reason == EndReason::kOverloaded) RecordRefused(Service().recent_requests_, now);
-  logging::LogEvent(
-      served ? logging::LogLevel::kInfo : logging::LogLevel::kWarning, "request_done",
-      {{"call", info_.id_},
-       {"status", std::to_string(status)},
-       {"reason", std::string(NameOf(kEndReasonNames, reason))},
-       {"route", route_ != nullptr ? route_->name_ : ""},
-       {"service", service_},
-       {"config", configuration_ ? std::to_string(configuration_->configuration_.version_) : ""},
-       {"target", attempted_targets_.empty() ? "" : attempted_targets_.back()},
-       {"sends", std::to_string(send_count_)},
-       {"load", chosen_target_load_},
-       {"expected_ms", FormatMilliseconds(expected_response_time_)},
-       {"probes", std::to_string(probed_targets_.size())},
-       {"wait_ms", FormatMilliseconds(waiting)},
-       {"total_ms", FormatMilliseconds(total)},
-       {"retry_after_ms", status == 503 ? FormatMilliseconds(retry_after_) : ""},
-       {"caller_timeout_ms", info_.time_left_ ? FormatMilliseconds(*info_.time_left_) : ""},
-       {"objective_ms", route_ != nullptr ? FormatMilliseconds(route_->latency_objective_) : ""},
-       {"left_ms", deadline_ == Time::max() ? "" : FormatMilliseconds(deadline_ - now)}});
+  LogFinished(status, reason, waiting, total, now);
   owner_.OnCallFinished(*this);
 }
 
+void Call::LogFinished(int status, EndReason reason, Duration waiting, Duration total, Time now) {
+  const bool served = reason == EndReason::kAnswered && status < 400;
+  const logging::LogLevel level = served ? logging::LogLevel::kInfo : logging::LogLevel::kWarning;
+  KeyValues fields = {
+      {"call", info_.id_},
+      {"status", std::to_string(status)},
+      {"reason", std::string(NameOf(kEndReasonNames, reason))},
+      {"route", route_ != nullptr ? route_->name_ : ""},
+      {"service", service_},
+      {"config", configuration_ ? std::to_string(configuration_->configuration_.version_) : ""},
+      {"target", attempted_targets_.empty() ? "" : attempted_targets_.back()},
+      {"sends", std::to_string(send_count_)},
+      {"load", chosen_target_load_},
+      {"expected_ms", FormatMilliseconds(expected_response_time_)},
+      {"probes", std::to_string(probed_targets_.size())},
+      {"wait_ms", FormatMilliseconds(waiting)},
+      {"total_ms", FormatMilliseconds(total)},
+      {"retry_after_ms", status == 503 ? FormatMilliseconds(retry_after_) : ""},
+      {"caller_timeout_ms", info_.time_left_ ? FormatMilliseconds(*info_.time_left_) : ""},
+      {"objective_ms", route_ != nullptr ? FormatMilliseconds(route_->latency_objective_) : ""},
+      {"left_ms", deadline_ == Time::max() ? "" : FormatMilliseconds(deadline_ - now)}};
+  if (exchange_ == nullptr) return logging::LogEvent(level, "request_done", fields);
+  exchange_->NotifyTurn([level, fields = std::move(fields), &metrics = state_.metrics_,
+                         service = service_](std::optional<Duration> waited) mutable {
+    if (waited) metrics.ObserveResponseOrderWait(service, *waited);
+    fields.emplace_back("turn_wait_ms", waited ? FormatMilliseconds(*waited) : "");
+    logging::LogEvent(level, "request_done", fields);
+  });
+}
+
 void Call::OnCallerDisconnected() {
   if (is_finished_) return;
   const Time now = Now();
   if (selecting_) EndSelection();
   hedge_at_ = Time::max();
-  connection_.reset();
+  exchange_.reset();
   if (!attempts_.empty() && !IsIdempotent(route_->kind_)) {
     // A non-idempotent request is not cancelled: a caller that returns finds it either executed or
     // not executed, but never interrupted. Nobody slows down its response any more.
     streaming_ = false;
-    for (const auto& attempt : attempts_) attempt->connection_->PauseReading(false);
+    for (const auto& attempt : attempts_) attempt->PauseReading(false);
     return SetTimer();
   }
   CancelAttempts();
@@ -706,9 +744,8 @@
   const bool possibly_executed = possibly_executed_sends_ > 0;
   CancelAttempts();
   EndSelection();
-  if (streaming_) {
-    if (connection_ != nullptr) connection_->Abort();
-    return Finish(0, EndReason::kStopping, now);
+  if (streaming_ && exchange_ != nullptr && !exchange_->Retract()) {
+    return BreakOffResponse(EndReason::kStopping, now);
   }
   if (error_response_ != nullptr) return RelayResponse(*error_response_);
   RespondWithError(possibly_executed ? 504 : 503, EndReason::kStopping, Duration(0), now);
@@ -716,7 +753,7 @@
 
 void Call::OnResponseFlushed() {
   if (!streaming_) return;
-  for (const auto& attempt : attempts_) attempt->connection_->PauseReading(false);
+  for (const auto& attempt : attempts_) attempt->PauseReading(false);
 }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -11,7 +11,7 @@
 #include "eventloop/timer.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/probe.h"
-#include "http/server_connection.h"
+#include "http/server_exchange.h"
 
 namespace monsoonshelf::gateway {
 
@@ -62,7 +62,7 @@
 // One request of a caller, from its arrival to the final response.
 class Call : public std::enable_shared_from_this<Call> {
  public:
-  Call(GatewayState& state, ICallOwner& owner, http::ServerConnectionPtr connection,
+  Call(GatewayState& state, ICallOwner& owner, http::ServerExchangePtr exchange,
        http::Request request);
   ~Call();
 
@@ -74,7 +74,7 @@
   void OnForcedStop(Time now);
   // Returns whether the request was sent to a target that has not responded yet.
   bool HasSendInFlight() const { return !attempts_.empty(); }
-  http::ServerConnection* Connection() const { return connection_.get(); }
+  http::ServerExchange* Exchange() const { return exchange_.get(); }
 
  private:
   class Attempt;
@@ -96,6 +96,8 @@
   void SetTimer();
   void OnDeadline(Time now);
   void OnStreamDeadline(Time now);
+  // Breaks the streamed response off, so that the caller detects that it is incomplete.
+  void BreakOffResponse(EndReason reason, Time now);
   // Ends the attempts whose response is not usable and did not end within its grace period.
   void EndUnusableResponses(Time now);
 
@@ -113,13 +115,15 @@
   void RelayResponse(Attempt& attempt);
   void RespondWithError(int status, EndReason reason, Duration retry_after, Time now);
   void Finish(int status, EndReason reason, Time now);
+  // Logs `request_done` when the response has its turn among those of its connection.
+  void LogFinished(int status, EndReason reason, Duration waiting, Duration total, Time now);
   Candidate MakeCandidate(const TargetState& target, std::size_t index, Time now) const;
   PlacementInputs MakePlacementInputs() const;
   ServiceState& Service() { return state_.services_[service_]; }
 
   GatewayState& state_;
   ICallOwner& owner_;
-  http::ServerConnectionPtr connection_;
+  http::ServerExchangePtr exchange_;  // Null after the caller has left.
   http::Request request_;
   CallInfo info_;
   ActiveConfigurationPtr configuration_;
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -78,7 +78,7 @@
 // HTTP server for one kind of short query: directory, readiness, metrics or records.
 class QueryServer : public http::IServerHandler {
  public:
-  using Handler = std::function<void(const http::ServerConnectionPtr&, const http::Request&)>;
+  using Handler = std::function<void(const http::ServerExchangePtr&, const http::Request&)>;
   explicit QueryServer(Handler handler) : handler_(std::move(handler)), connections_(*this) {}
 
   Result<void> Listen(const std::string& address) {
@@ -88,13 +88,13 @@
                       }));
     return {};
   }
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
-    handler_(connection, request);
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
+    handler_(exchange, request);
   }
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override {
-    if (on_caller_gone_ != nullptr) on_caller_gone_(connection);
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
+    if (on_caller_gone_ != nullptr) on_caller_gone_(exchange);
   }
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
   // Closes every connection after its next response, and those that are idle at once. Returns
@@ -107,7 +107,7 @@
   }
 
   Handler handler_;
-  std::function<void(const http::ServerConnectionPtr&)> on_caller_gone_;
+  std::function<void(const http::ServerExchangePtr&)> on_caller_gone_;
   http::ServerConnections connections_;
   std::unique_ptr<http::Listener> listener_;
 };
@@ -120,18 +120,18 @@
       : settings_(settings),
         state_(settings_, format, seed),
         caller_connections_(*this),
-        directory_server_([this](const auto& connection, const auto& request) {
-          RespondToDirectoryQuery(connection, request);
+        directory_server_([this](const auto& exchange, const auto& request) {
+          RespondToDirectoryQuery(exchange, request);
         }),
-        readiness_server_([this](const auto& connection, const auto& request) {
-          RespondToReadinessQuery(connection, request);
+        readiness_server_([this](const auto& exchange, const auto& request) {
+          RespondToReadinessQuery(exchange, request);
         }),
-        metrics_server_([this](const auto& connection, const auto& /*request*/) {
-          connection->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                              state_.metrics_.Format());
+        metrics_server_([this](const auto& exchange, const auto& /*request*/) {
+          exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                            state_.metrics_.Format());
         }),
-        record_server_([this](const auto& connection, const auto& request) {
-          store_sync_.Server().OnRequest(connection, request);
+        record_server_([this](const auto& exchange, const auto& request) {
+          store_sync_.Server().OnRequest(exchange, request);
         }),
         self_{settings_.name_,
               settings_.zone_,
@@ -149,8 +149,8 @@
     peers_.self_ = self_;
     state_.zone_hosts_ = {settings_.name_};
     state_.on_target_failed_ = [this](const TargetId& target) { BroadcastTargetFailure(target); };
-    record_server_.on_caller_gone_ = [this](const auto& connection) {
-      store_sync_.Server().OnCallerDisconnected(connection);
+    record_server_.on_caller_gone_ = [this](const auto& exchange) {
+      store_sync_.Server().OnCallerDisconnected(exchange);
     };
     caller_connections_.SetMaxBufferedBytes(
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
@@ -411,56 +411,65 @@
 
   // --- Queries.
 
-  void RespondToDirectoryQuery(const http::ServerConnectionPtr& connection,
+  void RespondToDirectoryQuery(const http::ServerExchangePtr& exchange,
                                const http::Request& request) {
     state_.metrics_.CountDirectoryQuery();
     const auto query = state_.format_.ReadDirectoryQuery(request.head_);
     if (!query) {
-      return connection->Respond(404, {{"Content-Type", "text/plain"}}, "no such resource");
+      return exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such resource");
     }
     const std::vector<std::string> addresses = DirectoryAddresses(peers_, IsServing(), Now());
     if (addresses.empty()) {
-      return connection->Respond(503, {{"Content-Type", "text/plain"}}, "no entry host is ready");
+      return exchange->Respond(503, {{"Content-Type", "text/plain"}}, "no entry host is ready");
     }
-    connection->Respond(
+    exchange->Respond(
         200, {{"Content-Type", "application/json"}},
         state_.format_.FormatDirectoryResponse(
             addresses, std::min(kDirectoryTimeToLive, settings_.bounds_.max_directory_ttl_)));
   }
 
-  void RespondToReadinessQuery(const http::ServerConnectionPtr& connection,
+  void RespondToReadinessQuery(const http::ServerExchangePtr& exchange,
                                const http::Request& request) {
     if (!state_.format_.IsReadinessQuery(request.head_)) {
-      return connection->Respond(404, {{"Content-Type", "text/plain"}}, "no such resource");
+      return exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such resource");
     }
-    connection->Respond(IsServing() ? 200 : 503, {{"Content-Type", "text/plain"}},
-                        NameOf(lifecycle::kLifecycleStateNames, lifecycle_state_));
+    exchange->Respond(IsServing() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                      NameOf(lifecycle::kLifecycleStateNames, lifecycle_state_));
   }
 
   // --- Requests of callers.
 
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
     const Time now = Now();
     // The timer may be late on a host that lacks processor time.
     if (lifecycle_state_ == LifecycleState::kLeaving) AdvanceStop(now);
-    auto call = std::make_shared<Call>(state_, static_cast<ICallOwner&>(*this), connection,
+    auto call = std::make_shared<Call>(state_, static_cast<ICallOwner&>(*this), exchange,
                                        std::move(request));
     calls_[call.get()] = call;
-    calls_by_connection_[connection.get()] = call.get();
+    calls_by_exchange_[exchange.get()] = call.get();
     call->Start(now);
   }
 
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override {
-    const auto found = calls_by_connection_.find(connection.get());
-    if (found == calls_by_connection_.end()) return;
+  bool MayOverlap(const http::RequestHead& head) const override {
+    if (state_.configuration_ == nullptr) return false;
+    const std::string* host = http::FindHeader(head.headers_, "Host");
+    const Route* route =
+        FindRoute(state_.configuration_->configuration_, state_.configuration_->routes_,
+                  host != nullptr ? *host : "", head.target_);
+    return route != nullptr && IsIdempotent(route->kind_);
+  }
+
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
+    const auto found = calls_by_exchange_.find(exchange.get());
+    if (found == calls_by_exchange_.end()) return;
     const CallPtr call = calls_[found->second];
-    calls_by_connection_.erase(found);
+    calls_by_exchange_.erase(found);
     call->OnCallerDisconnected();
   }
 
-  void OnResponseFlushed(const http::ServerConnectionPtr& connection) override {
-    const auto found = calls_by_connection_.find(connection.get());
-    if (found != calls_by_connection_.end()) found->second->OnResponseFlushed();
+  void OnResponseFlushed(const http::ServerExchangePtr& exchange) override {
+    const auto found = calls_by_exchange_.find(exchange.get());
+    if (found != calls_by_exchange_.end()) found->second->OnResponseFlushed();
   }
 
   void OnRejected(int status, std::string_view reason) override {
@@ -472,7 +481,7 @@
   void OnCallFinished(Call& call) override {
     const auto found = calls_.find(&call);
     if (found == calls_.end()) return;
-    calls_by_connection_.erase(call.Connection());
+    calls_by_exchange_.erase(call.Exchange());
     finished_calls_.push_back(std::move(found->second));
     calls_.erase(found);
   }
@@ -506,7 +515,7 @@
   // Of the settings at the stop signal: a reload must not shorten a stop that has begun.
   Duration stop_time_{};
   std::map<Call*, CallPtr> calls_;
-  std::map<http::ServerConnection*, Call*> calls_by_connection_;
+  std::map<http::ServerExchange*, Call*> calls_by_exchange_;
   std::vector<CallPtr> finished_calls_;
   std::vector<ProbePtr> detached_probes_;
 };
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -53,6 +53,8 @@
         waiting_(
             Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
         at_target_(Histogram("monsoonshelf_gateway_target_seconds", "At the target", labels)),
+        order_wait_(Histogram("monsoonshelf_gateway_response_order_wait_seconds",
+                              "From a response to its turn on the connection", labels)),
         gauges_(prometheus::BuildGauge()
                     .Name("monsoonshelf_gateway_state")
                     .Help("State of the entry host by name")
@@ -82,6 +84,7 @@
   HistogramFamily& total_;
   HistogramFamily& waiting_;
   HistogramFamily& at_target_;
+  HistogramFamily& order_wait_;
   prometheus::Family<prometheus::Gauge>& gauges_;
 };
 
@@ -107,6 +110,11 @@
   families_->at_target_.Add(labels, kDurationBuckets).Observe(Seconds(at_target));
 }
 
+void GatewayMetrics::ObserveResponseOrderWait(std::string_view service, Duration waited) {
+  families_->order_wait_.Add({{"service", ToString(service)}}, kDurationBuckets)
+      .Observe(Seconds(waited));
+}
+
 void GatewayMetrics::CountSend(std::string_view service, std::string_view result) {
   families_->sends_.Add({{"service", ToString(service)}, {"result", ToString(result)}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -18,6 +18,8 @@
   void CountRequest(std::string_view service, std::string_view outcome, std::string_view reason);
   void ObserveDurations(std::string_view service, Duration total, Duration waiting,
                         Duration at_target);
+  // Records the time that a complete response waited for the ones before it on its connection.
+  void ObserveResponseOrderWait(std::string_view service, Duration waited);
   void CountSend(std::string_view service, std::string_view result);
   void CountRetry(std::string_view service, std::string_view reason);
   void CountColdSend(std::string_view service);
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -181,22 +181,22 @@
       content_age_(std::move(content_age)),
       timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
 
-void RecordServer::OnRequest(const http::ServerConnectionPtr& connection,
+void RecordServer::OnRequest(const http::ServerExchangePtr& exchange,
                              const http::Request& request) {
   const auto kind = KindFromPath(request.head_.target_);
   if (!kind) {
-    return connection->Respond(404, {{"Content-Type", "text/plain"}}, "no such kind of record");
+    return exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such kind of record");
   }
   const auto found = caches_.find(*kind);
   if (found == caches_.end() || found->second.revision_ == 0) {
-    return connection->Respond(503, {{"Content-Type", "text/plain"}}, "no records are known yet");
+    return exchange->Respond(503, {{"Content-Type", "text/plain"}}, "no records are known yet");
   }
   const RecordCache& cache = found->second;
   const Revision after = QueryParameter(request.head_.target_, "after");
   const std::int64_t wait =
       std::clamp<std::int64_t>(QueryParameter(request.head_.target_, "wait_ms"), 0, kMaxWaitMs);
   const Time now = Now();
-  const WaitingRequest waiting = {connection, *kind, after, now + std::chrono::milliseconds(wait),
+  const WaitingRequest waiting = {exchange, *kind, after, now + std::chrono::milliseconds(wait),
                                   now};
   if (after == 0) return RespondWithEvents(waiting);
   const auto events = EventsAfter(cache, after);
@@ -219,8 +219,8 @@
   } else {
     const auto events = EventsAfter(cache, after);
     if (!events) {
-      return request.connection_->Respond(kHistoryGoneStatus, {{"Content-Type", "text/plain"}},
-                                          "the history doesn't reach back that far");
+      return request.exchange_->Respond(kHistoryGoneStatus, {{"Content-Type", "text/plain"}},
+                                        "the history doesn't reach back that far");
     }
     for (const StoreEvent& event : *events) {
       records.push_back(ToJson(event.record_, event.deleted_));
@@ -236,17 +236,16 @@
   const auto age = std::chrono::ceil<std::chrono::milliseconds>(content_age_()).count();
   const auto held =
       std::chrono::floor<std::chrono::milliseconds>(Now() - request.received_at_).count();
-  request.connection_->Respond(200,
-                               {{"Content-Type", "application/octet-stream"},
-                                {std::string(kAgeHeader), std::to_string(age)},
-                                {std::string(kHeldHeader), std::to_string(held)},
-                                {std::string(kContentsHeader), FormatContents(caches_)}},
-                               body);
+  request.exchange_->Respond(200,
+                             {{"Content-Type", "application/octet-stream"},
+                              {std::string(kAgeHeader), std::to_string(age)},
+                              {std::string(kHeldHeader), std::to_string(held)},
+                              {std::string(kContentsHeader), FormatContents(caches_)}},
+                             body);
 }
 
-void RecordServer::OnCallerDisconnected(const http::ServerConnectionPtr& connection) {
-  std::erase_if(waiting_,
-                [&](const WaitingRequest& item) { return item.connection_ == connection; });
+void RecordServer::OnCallerDisconnected(const http::ServerExchangePtr& exchange) {
+  std::erase_if(waiting_, [&](const WaitingRequest& item) { return item.exchange_ == exchange; });
 }
 
 void RecordServer::EndWaits() {
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -28,8 +28,8 @@
   // content of the caches.
   RecordServer(const RecordCaches& caches, std::function<Duration()> content_age);
 
-  void OnRequest(const http::ServerConnectionPtr& connection, const http::Request& request);
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection);
+  void OnRequest(const http::ServerExchangePtr& exchange, const http::Request& request);
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange);
   // Responds to the requests that wait for changes of the kind.
   void OnRecordsChanged(RecordKind kind);
   // Responds to the requests that wait for changes of the kind, so that their hosts learn that the
@@ -40,7 +40,7 @@
 
  private:
   struct WaitingRequest {
-    http::ServerConnectionPtr connection_;
+    http::ServerExchangePtr exchange_;
     RecordKind kind_ = RecordKind::kConfiguration;
     Revision after_ = 0;
     Time deadline_{};
--- a/src/gateway/tests/mocks/fake_target.h
+++ b/src/gateway/tests/mocks/fake_target.h
@@ -42,7 +42,7 @@
     return record;
   }
 
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
     if (request.head_.target_ == "/health") {
       ++probes_received_;
       if (ignores_probes_) return;
@@ -50,7 +50,7 @@
                                {"Running", std::to_string(reported_running_)}};
       headers.insert(headers.end(), probe_headers_.begin(), probe_headers_.end());
       if (cold_time_ms_ > 0) headers.emplace_back("Cold-Ms", std::to_string(cold_time_ms_));
-      return connection->Respond(healthy_ ? 200 : 503, headers, {});
+      return exchange->Respond(healthy_ ? 200 : 503, headers, {});
     }
     ++requests_received_;
     const std::string id = *http::FindHeader(request.head_.headers_, "Id");
@@ -60,34 +60,34 @@
     if (behaviour_ == Behaviour::kRejects) {
       http::Headers headers = {{"Id", id}, {"Not-Run", "1"}};
       headers.insert(headers.end(), response_headers_.begin(), response_headers_.end());
-      return connection->Respond(503, headers, {});
+      return exchange->Respond(503, headers, {});
     }
     ++executions_[id];
     switch (behaviour_) {
       case Behaviour::kHoldsRequest:
-        held_[id] = connection;
+        held_[id] = exchange;
         break;
       case Behaviour::kReturnsError:
-        connection->Respond(500, signed_headers, "error");
+        exchange->Respond(500, signed_headers, "error");
         break;
       case Behaviour::kDropsConnection:
-        connection->Abort();
+        exchange->Abort();
         break;
       case Behaviour::kRespondsUnsigned:
-        connection->Respond(200, {{"Id", id}}, "unsigned");
+        exchange->Respond(200, {{"Id", id}}, "unsigned");
         break;
       case Behaviour::kRespondsEncoded:
-        connection->Respond(200, {{"Id", id}, {"Signed", "yes"}, {"Content-Encoding", "gzip"}},
-                            "encoded");
+        exchange->Respond(200, {{"Id", id}, {"Signed", "yes"}, {"Content-Encoding", "gzip"}},
+                          "encoded");
         break;
       default:
-        connection->Respond(200, signed_headers, name_ + request.head_.target_ + request.body_);
+        exchange->Respond(200, signed_headers, name_ + request.head_.target_ + request.body_);
     }
   }
-  void OnCallerDisconnected(const http::ServerConnectionPtr& /*connection*/) override {
+  void OnCallerDisconnected(const http::ServerExchangePtr& /*exchange*/) override {
     ++cancellations_;
   }
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
   void RespondToHeld(const std::string& id, const std::string& body = "held") {
@@ -118,7 +118,7 @@
   int cancellations_ = 0;
   int last_time_left_ms_ = 0;
   std::map<std::string, int> executions_;
-  std::map<std::string, http::ServerConnectionPtr> held_;
+  std::map<std::string, http::ServerExchangePtr> held_;
 };
 
 }  // namespace monsoonshelf::gateway::tests
--- a/src/gateway/tests/mocks/gateway_host.h
+++ b/src/gateway/tests/mocks/gateway_host.h
@@ -14,8 +14,8 @@
 namespace monsoonshelf::gateway::tests {
 
 // A gateway with a mock store and routes to one service "s", and a client of it.
-// The routes are /safe/ (idempotent), /once/ (non-idempotent) and /brief/ (non-idempotent, with a
-// timeout of 700 ms).
+// The routes are /safe/ (idempotent), /single/ (idempotent, sent to one target only), /once/
+// (non-idempotent) and /brief/ (non-idempotent, with a timeout of 700 ms).
 class GatewayHost {
  public:
   struct Response {
@@ -34,8 +34,10 @@
     Configuration configuration;
     configuration.version_ = 3;
     configuration.routes_ = {MakeRoute("/safe/", RequestKind::kSafe, 5000),
+                             MakeRoute("/single/", RequestKind::kSafe, 5000),
                              MakeRoute("/once/", RequestKind::kNonIdempotent, 5000),
                              MakeRoute("/brief/", RequestKind::kNonIdempotent, 700)};
+    configuration.routes_[1].max_attempts_ = 1;
     configuration.services_["s"].name_ = "s";
     configuration.services_["s"].health_path_ = "/health";
     store_.Put(RecordKind::kConfiguration, {"main", 0, configuration, {}, {}});
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -32,16 +32,16 @@
   explicit RecordHandler(RecordServer& server, milliseconds delay = {})
       : server_(server), delay_(delay) {}
 
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
     timer_ = std::make_unique<eventloop::Timer>(
         g_main_context_get_thread_default(),
-        [this, connection, request] { server_.OnRequest(connection, request); });
+        [this, exchange, request] { server_.OnRequest(exchange, request); });
     timer_->Set(Now() + delay_);
   }
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override {
-    server_.OnCallerDisconnected(connection);
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
+    server_.OnCallerDisconnected(exchange);
   }
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
  private:
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -1,5 +1,6 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -33,47 +34,81 @@
 
 void ServerConnection::OnDataReceived() {
   last_byte_at_ = Now();
-  if (state_ == State::kIdle) {
-    state_ = State::kReading;
-    state_entered_at_ = last_byte_at_;
-    request_started_at_ = last_byte_at_;
-  }
-  if (state_ == State::kReading) {
-    ParseInput();
-  } else if (stream_->InputBuffer().size() > kMaxReadAheadBytes) {
-    stream_->PauseReading(true);
-  }
+  arrival_times_.Add(stream_->InputBuffer().size() - arrival_times_.Remaining(), last_byte_at_);
+  ReadRequests();
+}
+
+bool ServerConnection::IsIdle() const {
+  return state_ == State::kOpen && exchanges_.empty() && !HasUnstartedInput();
+}
+
+bool ServerConnection::HasUnstartedInput() const {
+  return next_request_.has_value() || parser_ != nullptr || !stream_->InputBuffer().empty();
+}
+
+PipelineState ServerConnection::Pipeline() const {
+  PipelineState pipeline;
+  pipeline.started_ = exchanges_.size();
+  pipeline.allows_overlap_ =
+      std::all_of(exchanges_.begin(), exchanges_.end(),
+                  [](const ServerExchangePtr& exchange) { return exchange->allows_overlap_; });
+  pipeline.closes_ = closes_ || owner_.close_after_response_;
+  pipeline.held_bytes_ = held_bytes_;
+  pipeline.buffered_bytes_ = owner_.buffered_bytes_;
+  pipeline.max_buffered_bytes_ = owner_.max_buffered_bytes_;
+  return pipeline;
 }
 
-// A request may be answered within OnRequest. The next one is then parsed by this loop and not by
-// FinishResponse, so that pipelined requests do not exhaust the stack.
-void ServerConnection::ParseInput() {
-  if (parsing_) return;
+// A request may be answered within OnRequest. The next one is then started by this loop and not by
+// WriteResponses, so that pipelined requests do not exhaust the stack.
+void ServerConnection::ReadRequests() {
+  if (reading_requests_ || state_ != State::kOpen) return;
   const auto self = shared_from_this();
-  parsing_ = true;
-  bool is_next = true;
-  while (is_next) is_next = ParseRequest() && state_ == State::kReading;
-  parsing_ = false;
+  reading_requests_ = true;
+  while (state_ == State::kOpen && ReadRequest()) {
+  }
+  reading_requests_ = false;
+  if (state_ != State::kOpen) return;
+  stream_->PauseReading(stream_->InputBuffer().size() > kMaxReadAheadBytes);
+}
+
+bool ServerConnection::ReadRequest() {
+  // Requests behind the close of the connection are not read; the caller sends them again.
+  if (!exchanges_.empty() && Pipeline().closes_) return false;
+  if (!next_request_) {
+    if (parser_ == nullptr && !MayStartRequest(Pipeline(), true)) return false;
+    if (!ParseRequest()) return false;
+  }
+  if (!exchanges_.empty() &&
+      !MayStartRequest(Pipeline(), owner_.handler_.MayOverlap(next_request_->head_))) {
+    return false;
+  }
+  Request request = std::move(*next_request_);
+  next_request_.reset();
+  owner_.buffered_bytes_ -= request.body_.size();
+  StartRequest(std::move(request));
+  return true;
 }
 
 bool ServerConnection::ParseRequest() {
-  const auto self = shared_from_this();
   std::string& input = stream_->InputBuffer();
   if (parser_ == nullptr) {
     // Empty lines before a request line are ignored, as RFC 9112 recommends.
-    const std::size_t begin = input.find_first_not_of("\r\n");
-    input.erase(0, std::min(begin, input.size()));
-    if (input.empty()) {
-      state_ = State::kIdle;
-      return false;
-    }
+    const std::size_t empty_bytes = std::min(input.find_first_not_of("\r\n"), input.size());
+    input.erase(0, empty_bytes);
+    arrival_times_.Remove(empty_bytes);
+    if (input.empty()) return false;
     parser_ = std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
                                               owner_.limits_.max_body_bytes_);
     continue_sent_ = false;
+    parsing_since_ = last_byte_at_ = Now();
+    request_received_at_ = arrival_times_.First(parsing_since_);
   }
-  const std::size_t before = parser_->Body().size();
-  input.erase(0, parser_->Feed(input));
-  owner_.buffered_bytes_ += parser_->Body().size() - before;
+  const std::size_t body_before = parser_->Body().size();
+  const std::size_t parsed_bytes = parser_->Feed(input);
+  input.erase(0, parsed_bytes);
+  arrival_times_.Remove(parsed_bytes);
+  owner_.buffered_bytes_ += parser_->Body().size() - body_before;
   switch (parser_->Error()) {
     case ParseError::kNone:
       break;
@@ -87,157 +122,218 @@
       Reject(400, "request is malformed");
       return false;
   }
-  if (parser_->HasHead() && !parser_->IsDone()) {
-    if (owner_.buffered_bytes_ > owner_.max_buffered_bytes_) {
-      Reject(503, "request bodies fill memory");
-      return false;
-    }
-    if (parser_->Head().expects_continue_ && !continue_sent_) {
-      continue_sent_ = true;
-      stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
+  if (parser_->IsDone()) {
+    next_request_ =
+        Request{std::move(parser_->Head()), std::move(parser_->Body()), request_received_at_};
+    parser_.reset();
+    return true;
+  }
+  if (!parser_->HasHead()) return false;
+  if (owner_.buffered_bytes_ > owner_.max_buffered_bytes_) {
+    Reject(503, "request bodies fill memory");
     return false;
   }
-  if (!parser_->IsDone()) return false;
-  Request request{std::move(parser_->Head()), std::move(parser_->Body()), request_started_at_};
-  owner_.buffered_bytes_ -= request.body_.size();
-  parser_.reset();
-  state_ = State::kBusy;
+  // An interim response must not appear before or within the response to an earlier request.
+  if (parser_->Head().expects_continue_ && !continue_sent_ && exchanges_.empty()) {
+    continue_sent_ = true;
+    last_byte_at_ = Now();
+    stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return false;
+}
+
+void ServerConnection::StartRequest(Request request) {
   had_request_ = true;
-  state_entered_at_ = Now();
-  keep_alive_ = request.head_.keep_alive_;
-  is_head_ = request.head_.method_ == "HEAD";
-  owner_.handler_.OnRequest(self, std::move(request));
-  return true;
+  const auto exchange = std::make_shared<ServerExchange>(*this, request.head_);
+  exchanges_.push_back(exchange);
+  if (!exchange->keep_alive_) closes_ = true;
+  owner_.handler_.OnRequest(exchange, std::move(request));
 }
 
 void ServerConnection::Reject(int status, std::string_view reason) {
-  if (parser_ != nullptr) owner_.buffered_bytes_ -= parser_->Body().size();
+  owner_.buffered_bytes_ -= parser_->Body().size();
   parser_.reset();
   owner_.handler_.OnRejected(status, reason);
-  keep_alive_ = false;
-  is_head_ = false;
-  state_ = State::kBusy;
-  Respond(status, {{"Content-Type", "text/plain"}}, reason, true);
+  RequestHead head;
+  head.keep_alive_ = false;
+  const auto exchange = std::make_shared<ServerExchange>(*this, head);
+  exchanges_.push_back(exchange);
+  exchange->Respond(status, {{"Content-Type", "text/plain"}}, reason, true);
 }
 
-void ServerConnection::Respond(int status, const Headers& headers, std::string_view body,
-                               bool close) {
-  if (state_ != State::kBusy) return;
-  close = close || !keep_alive_ || owner_.close_after_response_;
-  std::string text = FormatResponseHead(status, headers, body.size(), close);
-  if (!is_head_) text.append(body);
-  state_ = State::kStreaming;
-  stream_->Write(text);
-  FinishResponse(close);
+void ServerConnection::WriteResponses() {
+  if (writing_responses_ || state_ != State::kOpen) return;
+  const auto self = shared_from_this();
+  writing_responses_ = true;
+  while (state_ == State::kOpen && !exchanges_.empty()) {
+    const ServerExchangePtr first = exchanges_.front();
+    const ServerExchange::State state = first->state_;
+    WriteHeldPart(*first);
+    // The handler may have continued the response, or closed the connection, while it was written.
+    if (state_ != State::kOpen || first->state_ != state) continue;
+    if (state == ServerExchange::State::kAborted) {
+      ReportDisconnect(CloseGracefully());
+      break;
+    }
+    if (state != ServerExchange::State::kComplete) break;
+    exchanges_.pop_front();
+    state_entered_at_ = last_byte_at_ = Now();
+    first->connection_ = nullptr;
+    if (first->closes_) CloseGracefully();
+  }
+  writing_responses_ = false;
+  ReadRequests();
 }
 
-void ServerConnection::BeginChunkedResponse(int status, const Headers& headers, bool close) {
-  if (state_ != State::kBusy) return;
-  keep_alive_ = keep_alive_ && !close && !owner_.close_after_response_;
-  state_ = State::kStreaming;
-  stream_->Write(FormatChunkedHead(status, headers, !keep_alive_));
+void ServerConnection::WriteHeldPart(ServerExchange& exchange) {
+  if (exchange.state_ == ServerExchange::State::kWaiting) return;
+  std::string text;
+  if (!exchange.head_written_) {
+    // An aborted response of which nothing was written stays without a head.
+    if (exchange.status_ == 0) return;
+    text = FormatHead(exchange);
+    exchange.ReportTurn(Now() - exchange.responded_at_);
+  }
+  if (!exchange.held_body_.empty()) {
+    text += exchange.chunked_ ? FormatChunk(exchange.held_body_) : exchange.held_body_;
+    RemoveHeldBytes(exchange.held_body_.size());
+    exchange.held_body_ = {};
+  }
+  if (exchange.state_ == ServerExchange::State::kComplete && exchange.chunked_ &&
+      !exchange.is_head_) {
+    text += kLastChunk;
+  }
+  if (!text.empty()) stream_->Write(text);
 }
 
-void ServerConnection::WriteChunk(std::string_view bytes) {
-  if (state_ != State::kStreaming || bytes.empty() || is_head_) return;
-  stream_->Write(FormatChunk(bytes));
+std::string ServerConnection::FormatHead(ServerExchange& exchange) {
+  exchange.head_written_ = true;
+  // Only the response to the last started request may close the connection: the ones behind another
+  // were passed on, and their responses would be lost.
+  exchange.closes_ = exchanges_.back().get() == &exchange && Pipeline().closes_;
+  if (exchange.closes_) closes_ = true;
+  return exchange.chunked_
+             ? FormatChunkedHead(exchange.status_, exchange.headers_, exchange.closes_)
+             : FormatResponseHead(exchange.status_, exchange.headers_, exchange.body_bytes_,
+                                  exchange.closes_);
 }
 
-void ServerConnection::EndChunkedResponse() {
-  if (state_ != State::kStreaming) return;
-  if (!is_head_) stream_->Write(kLastChunk);
-  FinishResponse(!keep_alive_);
+void ServerConnection::AddHeldBytes(std::size_t bytes) {
+  held_bytes_ += bytes;
+  owner_.buffered_bytes_ += bytes;
 }
 
-void ServerConnection::Abort() { CloseNow(); }
+void ServerConnection::RemoveHeldBytes(std::size_t bytes) {
+  held_bytes_ -= bytes;
+  owner_.buffered_bytes_ -= bytes;
+}
 
-void ServerConnection::FinishResponse(bool close) {
-  if (stream_ == nullptr) return;
-  state_entered_at_ = Now();
-  last_byte_at_ = state_entered_at_;
-  if (close) return CloseGracefully();
-  state_ = State::kIdle;
-  stream_->PauseReading(false);
-  if (stream_->InputBuffer().empty()) return;
-  state_ = State::kReading;
-  request_started_at_ = state_entered_at_;
-  ParseInput();
+std::deque<ServerExchangePtr> ServerConnection::TakeExchanges() {
+  if (parser_ != nullptr) owner_.buffered_bytes_ -= parser_->Body().size();
+  parser_.reset();
+  if (next_request_) owner_.buffered_bytes_ -= next_request_->body_.size();
+  next_request_.reset();
+  RemoveHeldBytes(held_bytes_);
+  std::deque<ServerExchangePtr> exchanges = std::exchange(exchanges_, {});
+  for (const ServerExchangePtr& exchange : exchanges) {
+    exchange->connection_ = nullptr;
+    exchange->held_body_ = {};
+    exchange->ReportTurn(std::nullopt);
+  }
+  return exchanges;
+}
+
+void ServerConnection::ReportDisconnect(const std::deque<ServerExchangePtr>& exchanges) {
+  for (const ServerExchangePtr& exchange : exchanges) {
+    if (exchange->state_ == ServerExchange::State::kWaiting ||
+        exchange->state_ == ServerExchange::State::kStreaming) {
+      owner_.handler_.OnCallerDisconnected(exchange);
+    }
+  }
 }
 
-void ServerConnection::CloseGracefully() {
+std::deque<ServerExchangePtr> ServerConnection::CloseGracefully() {
   state_ = State::kClosing;
   state_entered_at_ = Now();
+  std::deque<ServerExchangePtr> exchanges = TakeExchanges();
   stream_->ShutDown();
+  return exchanges;
 }
 
 void ServerConnection::OnOutputFlushed() {
-  if (state_ == State::kStreaming) owner_.handler_.OnResponseFlushed(shared_from_this());
   if (state_ == State::kClosing) state_entered_at_ = Now();  // The linger time begins.
+  if (state_ != State::kOpen || exchanges_.empty()) return;
+  const ServerExchangePtr first = exchanges_.front();
+  if (first->head_written_ && first->state_ == ServerExchange::State::kStreaming) {
+    owner_.handler_.OnResponseFlushed(first);
+  }
 }
 
 void ServerConnection::OnClosed(Failure failure) {
   const auto self = shared_from_this();
-  const bool was_busy = IsBusy();
   // A caller that closes only its sending direction during a request is treated as disconnected
   // too.
   (void)failure;
-  CloseNow();
-  if (was_busy) owner_.handler_.OnCallerDisconnected(self);
+  ReportDisconnect(CloseNow());
 }
 
-void ServerConnection::CloseNow() {
-  if (state_ == State::kClosed) return;
+std::deque<ServerExchangePtr> ServerConnection::CloseNow() {
+  if (state_ == State::kClosed) return {};
   const auto self = shared_from_this();
-  if (parser_ != nullptr) owner_.buffered_bytes_ -= parser_->Body().size();
-  parser_.reset();
   state_ = State::kClosed;
+  std::deque<ServerExchangePtr> exchanges = TakeExchanges();
   stream_.reset();
   owner_.connections_.erase(self);
+  return exchanges;
 }
 
+void ServerConnection::Abort() { CloseNow(); }
+
 bool ServerConnection::CloseIfIdle() {
-  if (state_ != State::kIdle) return false;
+  if (!IsIdle()) return false;
   if (!had_request_ && Now() - state_entered_at_ < kFirstRequestTime) return false;
   // A timer can run before the socket is read. A request that has arrived must not be discarded.
   const auto self = shared_from_this();
   stream_->ReceiveNow();
-  if (state_ != State::kIdle || !stream_->InputBuffer().empty()) return false;
+  if (!IsIdle()) return false;
   CloseGracefully();
   return true;
 }
 
 void ServerConnection::CheckReadTimeout(Time now) {
+  // The caller waits for the interim response, or its request is not read any more.
+  if (parser_->HasHead() && parser_->Head().expects_continue_ && !continue_sent_) return;
+  if (!exchanges_.empty() && Pipeline().closes_) return;
   const auto is_late = [this, now] {
     const bool has_head = parser_ != nullptr && parser_->HasHead();
     return has_head ? now - last_byte_at_ > owner_.limits_.body_timeout_
-                    : now - state_entered_at_ > owner_.limits_.header_timeout_;
+                    : now - parsing_since_ > owner_.limits_.header_timeout_;
   };
   if (!is_late()) return;
   // A timer can run before the socket is read. The rest of the request may have arrived in time.
   const auto self = shared_from_this();
   const Time last_byte_at = last_byte_at_;
+  const RequestParser* parser = parser_.get();
   stream_->ReceiveNow();
   const bool received_bytes = last_byte_at_ != last_byte_at;
   const bool has_head = parser_ != nullptr && parser_->HasHead();
-  if (state_ != State::kReading || (has_head && received_bytes)) return;
+  if (state_ != State::kOpen || parser_ == nullptr || parser_.get() != parser) return;
+  if (has_head && received_bytes) return;
   Reject(408, has_head ? "body took too long" : "header took too long");
 }
 
 void ServerConnection::CheckTimeouts(Time now) {
-  const ServerLimits& limits = owner_.limits_;
   switch (state_) {
-    case State::kIdle:
-      if (now - state_entered_at_ > limits.idle_timeout_) CloseIfIdle();
-      break;
-    case State::kReading:
-      CheckReadTimeout(now);
+    case State::kOpen:
+      if (parser_ != nullptr) {
+        CheckReadTimeout(now);
+      } else if (now - state_entered_at_ > owner_.limits_.idle_timeout_) {
+        CloseIfIdle();
+      }
       break;
     case State::kClosing:
       if (now - state_entered_at_ > kLingerTime && stream_->UnsentBytes() == 0) CloseNow();
       break;
-    case State::kBusy:
-    case State::kStreaming:
     case State::kClosed:
       break;
   }
--- a/src/http/internal/stream.cc
+++ b/src/http/internal/stream.cc
@@ -188,10 +188,7 @@
   if (closed_ || write_closed_) return;
   output_.append(bytes);
   // A send error is reported by the next read, never from within Write.
-  if (connected_) {
-    FlushOutput();
-    UpdatePolledEvents();
-  }
+  if (connected_ && FlushOutput()) UpdatePolledEvents();
 }
 
 bool Stream::FlushOutput() {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -9,6 +11,8 @@
 #include "base/base_types.h"
 #include "http/http_types.h"
 #include "http/message_parser.h"
+#include "http/pipeline.h"
+#include "http/server_exchange.h"
 #include "http/stream.h"
 
 namespace monsoonshelf::http {
@@ -28,34 +32,10 @@
 class ServerConnection;
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
 
-// A complete request.
-struct Request {
-  RequestHead head_;
-  std::string body_;
-  Time received_{};  // When the first byte was read.
-};
-
-// Receives the requests and events of server connections.
-class IServerHandler {
- public:
-  virtual ~IServerHandler() = default;
-  // Called when a request is complete. The handler responds with Respond or with
-  // BeginChunkedResponse, now or later.
-  virtual void OnRequest(const ServerConnectionPtr& connection, Request request) = 0;
-  // Called when the caller closed its connection before the response was complete.
-  virtual void OnCallerDisconnected(const ServerConnectionPtr& connection) = 0;
-  // Called when all response bytes written so far have been passed to the kernel, so that more can
-  // be written.
-  virtual void OnResponseFlushed(const ServerConnectionPtr& connection) = 0;
-  // Called when the connection rejected a request that was malformed, too large or too slow, or
-  // that exceeded the limit on buffered bodies. The response has `status`, and `reason` as its
-  // body.
-  virtual void OnRejected(int status, std::string_view reason) = 0;
-};
-
 class ServerConnections;
 
-// One HTTP/1.1 connection of a caller. Pipelined requests are handled one at a time, in order.
+// One HTTP/1.1 connection of a caller. Owns the exchanges of its requests and writes their
+// responses in order.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>,
                          private IStreamHandler {
  public:
@@ -63,61 +43,75 @@
   ~ServerConnection() override;
 
   bool IsOpen() const { return stream_ != nullptr; }
-  // True from the end of a request to the end of the response.
-  bool IsBusy() const { return state_ == State::kBusy || state_ == State::kStreaming; }
-
-  // Sends the complete response to the current request. `close` closes the connection after it.
-  void Respond(int status, const Headers& headers, std::string_view body, bool close = false);
-  // Starts a response with a chunked body: zero or more WriteChunk calls follow, then
-  // EndChunkedResponse or Abort.
-  void BeginChunkedResponse(int status, const Headers& headers, bool close = false);
-  void WriteChunk(std::string_view bytes);
-  void EndChunkedResponse();
-  // Closes the connection at once. A response that is being written stays incomplete, which the
-  // caller can detect.
-  void Abort();
-  // Response bytes that have not been passed to the kernel yet.
-  std::size_t UnsentBytes() const { return stream_ ? stream_->UnsentBytes() : 0; }
-
+  // Returns whether a request is complete whose response is not.
+  bool IsBusy() const { return !exchanges_.empty() || next_request_.has_value(); }
   // Returns whether bytes of an incomplete request were received.
-  bool IsReading() const { return state_ == State::kReading; }
+  bool IsReading() const { return state_ == State::kOpen && parser_ != nullptr; }
   // Returns whether the last response is complete and the connection waits for the peer to close.
   bool IsClosing() const { return state_ == State::kClosing; }
+  // Response bytes that have not been passed to the kernel yet.
+  std::size_t UnsentBytes() const { return held_bytes_ + (stream_ ? stream_->UnsentBytes() : 0); }
 
   // Closes the connection if no byte of a next request has been received. A new connection has some
   // time for its first request. Returns whether it was closed.
   bool CloseIfIdle();
   // Closes the connection, or rejects the current request with status 408, if a timeout has passed.
   void CheckTimeouts(Time now);
+  // Closes the connection at once, without calling the handler.
+  void Abort();
 
  private:
-  enum class State { kIdle, kReading, kBusy, kStreaming, kClosing, kClosed };
+  friend class ServerExchange;
+  enum class State { kOpen, kClosing, kClosed };
 
   void OnConnected() override {}
   void OnDataReceived() override;
   void OnOutputFlushed() override;
   void OnClosed(Failure failure) override;
 
-  void ParseInput();
-  // Returns whether a complete request was processed, so that another one may follow.
+  bool IsIdle() const;
+  // Returns whether bytes of a request that was not started were received.
+  bool HasUnstartedInput() const;
+  PipelineState Pipeline() const;
+  // Starts as many of the received requests as possible.
+  void ReadRequests();
+  // Returns whether a request was started, so that another one may follow.
+  bool ReadRequest();
+  // Feeds the parser. Returns whether a request is complete.
   bool ParseRequest();
+  void StartRequest(Request request);
   void CheckReadTimeout(Time now);
   void Reject(int status, std::string_view reason);
-  void FinishResponse(bool close);
-  void CloseGracefully();
-  void CloseNow();
+  // Writes the responses that have their turn, then reads further requests.
+  void WriteResponses();
+  void WriteHeldPart(ServerExchange& exchange);
+  // Passes the first bytes of the response to the stream.
+  std::string FormatHead(ServerExchange& exchange);
+  void AddHeldBytes(std::size_t bytes);
+  void RemoveHeldBytes(std::size_t bytes);
+  // These return the exchanges that were not finished, for ReportDisconnect.
+  std::deque<ServerExchangePtr> CloseGracefully();
+  std::deque<ServerExchangePtr> CloseNow();
+  std::deque<ServerExchangePtr> TakeExchanges();
+  // Calls the handler for the exchanges whose response is not complete.
+  void ReportDisconnect(const std::deque<ServerExchangePtr>& exchanges);
 
   ServerConnections& owner_;
   std::unique_ptr<Stream> stream_;
-  std::unique_ptr<RequestParser> parser_;
-  State state_ = State::kIdle;
+  State state_ = State::kOpen;
+  std::deque<ServerExchangePtr> exchanges_;  // In the order of their requests.
+  std::size_t held_bytes_ = 0;               // Of the responses that wait for their turn.
+  bool closes_ = false;                      // Is closed after the last started request.
+  std::unique_ptr<RequestParser> parser_;    // Of a request that is not complete.
+  std::optional<Request> next_request_;      // Complete, but must wait for the ones before it.
+  ArrivalTimes arrival_times_;
   bool had_request_ = false;
-  bool parsing_ = false;
-  Time state_entered_at_{};
+  bool reading_requests_ = false;
+  bool writing_responses_ = false;
+  Time state_entered_at_{};  // Begin of the idle time, or of the graceful close.
+  Time parsing_since_{};
   Time last_byte_at_{};
-  Time request_started_at_{};
-  bool keep_alive_ = true;
-  bool is_head_ = false;
+  Time request_received_at_{};
   bool continue_sent_ = false;
 };
 
@@ -142,11 +136,12 @@
   void Accept(int descriptor);
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   const ServerLimits& Limits() const { return limits_; }
-  // While enabled, every connection is closed after its next response.
+  // While enabled, every connection is closed after the responses to its started requests.
   void SetCloseAfterResponse(bool enabled) { close_after_response_ = enabled; }
   bool ClosesAfterResponse() const { return close_after_response_; }
-  // Sets the limit on the body bytes of incomplete requests, summed over all connections. While the
-  // sum is above the limit, requests with an incomplete body are rejected with status 503.
+  // Sets the limit on the buffered bytes, summed over all connections: bodies of requests that were
+  // not started, and responses that wait for their turn. While the sum is above the limit, requests
+  // with an incomplete body are rejected with status 503, and requests are handled one at a time.
   void SetMaxBufferedBytes(std::size_t bytes) { max_buffered_bytes_ = bytes; }
   // Enforces the timeouts of ServerLimits. Must be called several times a second.
   void CheckTimeouts(Time now);
@@ -161,7 +156,7 @@
   ServerLimits limits_;
   bool close_after_response_ = false;
   std::size_t max_buffered_bytes_ = std::size_t{64} << 20;
-  std::size_t buffered_bytes_ = 0;
+  std::size_t buffered_bytes_ = 0;  // Request bodies and held responses.
   std::set<ServerConnectionPtr> connections_;
 };
 
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -49,24 +49,22 @@
         Listener::Open("127.0.0.1:0", [this](int descriptor) { connections_.Accept(descriptor); });
     listener_ = std::move(listener.value());
   }
-  void OnRequest(const ServerConnectionPtr& connection, Request request) override {
+  void OnRequest(const ServerExchangePtr& exchange, Request request) override {
     ++request_count_;
     if (hold_requests_) {
-      held_connection_ = connection;
+      held_exchange_ = exchange;
     } else {
-      connection->Respond(200, {}, request.head_.target_ + request.body_);
+      exchange->Respond(200, {}, request.head_.target_ + request.body_);
     }
   }
-  void OnCallerDisconnected(const ServerConnectionPtr& /*connection*/) override {
-    ++disconnect_count_;
-  }
-  void OnResponseFlushed(const ServerConnectionPtr& /*connection*/) override {}
+  void OnCallerDisconnected(const ServerExchangePtr& /*exchange*/) override { ++disconnect_count_; }
+  void OnResponseFlushed(const ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int status, std::string_view /*reason*/) override { rejected_status_ = status; }
   Address GetAddress() const { return *ParseAddress(listener_->LocalAddress()); }
 
   ServerConnections connections_;
   std::unique_ptr<Listener> listener_;
-  ServerConnectionPtr held_connection_;
+  ServerExchangePtr held_exchange_;
   int request_count_ = 0;
   int disconnect_count_ = 0;
   int rejected_status_ = 0;
@@ -368,9 +366,9 @@
     ClientConnection busy(server.GetAddress(), {});
     ExchangeRecorder recorder;
     busy.SendRequest(kGet, false, recorder);
-    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.held_connection_ != nullptr; }));
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.held_exchange_ != nullptr; }));
     server.connections_.CloseIdle();
-    server.held_connection_->Respond(200, {}, "kept");
+    server.held_exchange_->Respond(200, {}, "kept");
     CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
     CPPUNIT_ASSERT_EQUAL(std::string("kept"), recorder.body_);
     server.connections_.CloseIdle();
@@ -488,11 +486,11 @@
     ClientConnection connection(server.GetAddress(), {});
     ExchangeRecorder recorder;
     connection.SendRequest(kGet, false, recorder);
-    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.held_connection_ != nullptr; }));
-    server.held_connection_->BeginChunkedResponse(200, {});
-    server.held_connection_->WriteChunk("part");
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return server.held_exchange_ != nullptr; }));
+    server.held_exchange_->BeginChunkedResponse(200, {});
+    server.held_exchange_->WriteChunk("part");
     CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.body_ == "part"; }));
-    server.held_connection_->Abort();
+    server.held_exchange_->Abort();
     CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
     CPPUNIT_ASSERT(!recorder.done_);
   }
--- a/src/http/tests/endless_bytes_test.cc
+++ b/src/http/tests/endless_bytes_test.cc
@@ -73,9 +73,9 @@
         Listener::Open("127.0.0.1:0", [this](int descriptor) { connections_.Accept(descriptor); });
     listener_ = std::move(listener.value());
   }
-  void OnRequest(const ServerConnectionPtr& /*connection*/, Request /*request*/) override {}
-  void OnCallerDisconnected(const ServerConnectionPtr& /*connection*/) override {}
-  void OnResponseFlushed(const ServerConnectionPtr& /*connection*/) override {}
+  void OnRequest(const ServerExchangePtr& /*exchange*/, Request /*request*/) override {}
+  void OnCallerDisconnected(const ServerExchangePtr& /*exchange*/) override {}
+  void OnResponseFlushed(const ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int status, std::string_view /*reason*/) override { rejected_status_ = status; }
 
   ServerConnections connections_;
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -41,18 +41,18 @@
   bool IsWorking() const { return working_on_ != nullptr; }
 
  private:
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override {
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
     if (request.head_.target_ == "/healthz") {
-      return connection->Respond(200, {{"Instance-Id", kTargetName}, {"Server-Load", "0,0,2,100"}},
-                                 {});
+      return exchange->Respond(200, {{"Instance-Id", kTargetName}, {"Server-Load", "0,0,2,100"}},
+                               {});
     }
-    working_on_ = connection;
+    working_on_ = exchange;
     timer_.Set(Now() + kWorkTime);
   }
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override {
-    if (working_on_ == connection) working_on_ = nullptr;
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
+    if (working_on_ == exchange) working_on_ = nullptr;
   }
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
   void Answer() {
     if (working_on_ == nullptr) return;
@@ -63,7 +63,7 @@
 
   http::ServerConnections connections_;
   std::unique_ptr<http::Listener> listener_;
-  http::ServerConnectionPtr working_on_;
+  http::ServerExchangePtr working_on_;
   eventloop::Timer timer_;
 };
 
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -17,8 +17,8 @@
   return at == std::string::npos ? -1 : std::atoll(target.c_str() + at + name.size() + 1);
 }
 
-void Respond(const http::ServerConnectionPtr& connection, int status, const nlohmann::json& body) {
-  connection->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
+void Respond(const http::ServerExchangePtr& exchange, int status, const nlohmann::json& body) {
+  exchange->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
 }
 
 }  // namespace
@@ -46,29 +46,29 @@
   objects_[kind].erase(found);
 }
 
-void Store::OnRequest(const http::ServerConnectionPtr& connection, http::Request request) {
+void Store::OnRequest(const http::ServerExchangePtr& exchange, http::Request request) {
   const std::string& target = request.head_.target_;
   if (unavailable_ || !target.starts_with(kPath))
-    return Respond(connection, unavailable_ ? 503 : 404, {});
+    return Respond(exchange, unavailable_ ? 503 : 404, {});
   const std::string rest = target.substr(kPath.size());
   const std::string kind = rest.substr(0, rest.find_first_of("/?"));
-  if (request.head_.method_ != "GET") return AnswerWrite(connection, kind, request);
+  if (request.head_.method_ != "GET") return AnswerWrite(exchange, kind, request);
   const std::int64_t after = QueryNumber(target, "watch");
-  if (after < 0) return AnswerList(connection, kind);
+  if (after < 0) return AnswerList(exchange, kind);
   const auto wait = std::chrono::milliseconds(QueryNumber(target, "waitMs"));
-  const PendingWatch watch = {connection, kind, after, Now() + wait};
+  const PendingWatch watch = {exchange, kind, after, Now() + wait};
   if (!AnswerWatch(watch, false)) pending_watches_.push_back(watch);
 }
 
-void Store::OnCallerDisconnected(const http::ServerConnectionPtr& connection) {
+void Store::OnCallerDisconnected(const http::ServerExchangePtr& exchange) {
   std::erase_if(pending_watches_,
-                [&](const PendingWatch& item) { return item.connection_ == connection; });
+                [&](const PendingWatch& item) { return item.exchange_ == exchange; });
 }
 
-void Store::AnswerList(const http::ServerConnectionPtr& connection, const std::string& kind) {
+void Store::AnswerList(const http::ServerExchangePtr& exchange, const std::string& kind) {
   Json items = Json::array();
   for (const auto& [name, object] : objects_[kind]) items.push_back(object);
-  Respond(connection, 200, {{"items", items}, {"more", false}, {"currentRev", revision_}});
+  Respond(exchange, 200, {{"items", items}, {"more", false}, {"currentRev", revision_}});
 }
 
 bool Store::AnswerWatch(const PendingWatch& watch, bool timed_out) {
@@ -76,7 +76,7 @@
     // The dropped history is reported at once to a new watch, but to a pending one only at its
     // timeout.
     if (!timed_out && watch.deadline_ - Now() < std::chrono::milliseconds(1)) return false;
-    Respond(watch.connection_, 410, Json::object());
+    Respond(watch.exchange_, 410, Json::object());
     return true;
   }
   Json events = Json::array();
@@ -85,20 +85,20 @@
     events.push_back({{"object", change.object_}, {"deleted", change.deleted_}});
   }
   if (events.empty() && !timed_out) return false;
-  Respond(watch.connection_, 200, {{"events", events}, {"currentRev", revision_}});
+  Respond(watch.exchange_, 200, {{"events", events}, {"currentRev", revision_}});
   return true;
 }
 
-void Store::AnswerWrite(const http::ServerConnectionPtr& connection, const std::string& kind,
+void Store::AnswerWrite(const http::ServerExchangePtr& exchange, const std::string& kind,
                         const http::Request& request) {
   const Json body = Json::parse(request.body_, nullptr, false);
   const std::string name = body["metadata"]["name"];
   const auto found = objects_[kind].find(name);
   const bool exists = found != objects_[kind].end();
-  if (request.head_.method_ == "POST" && exists) return Respond(connection, 409, found->second);
-  if (request.head_.method_ == "PUT" && !exists) return Respond(connection, 404, {});
+  if (request.head_.method_ == "POST" && exists) return Respond(exchange, 409, found->second);
+  if (request.head_.method_ == "PUT" && !exists) return Respond(exchange, 404, {});
   Put(kind, name, body["spec"]);
-  Respond(connection, 200, objects_[kind][name]);
+  Respond(exchange, 200, objects_[kind][name]);
 }
 
 void Store::AnswerWatches() {
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -30,7 +30,7 @@
  private:
   using Json = nlohmann::json;
   struct PendingWatch {
-    http::ServerConnectionPtr connection_;
+    http::ServerExchangePtr exchange_;
     std::string kind_;
     std::int64_t after_revision_ = 0;
     Time deadline_{};
@@ -42,15 +42,15 @@
     bool deleted_ = false;
   };
 
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override;
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override;
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override;
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override;
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
-  void AnswerList(const http::ServerConnectionPtr& connection, const std::string& kind);
+  void AnswerList(const http::ServerExchangePtr& exchange, const std::string& kind);
   // Returns false if the watch stays pending because there is no change yet.
   bool AnswerWatch(const PendingWatch& watch, bool timed_out);
-  void AnswerWrite(const http::ServerConnectionPtr& connection, const std::string& kind,
+  void AnswerWrite(const http::ServerExchangePtr& exchange, const std::string& kind,
                    const http::Request& request);
   // Answers the pending watches that have changes or have timed out.
   void AnswerWatches();
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -100,22 +100,22 @@
   }
 }
 
-void Target::OnRequest(const http::ServerConnectionPtr& connection, http::Request request) {
+void Target::OnRequest(const http::ServerExchangePtr& exchange, http::Request request) {
   const http::Headers& headers = request.head_.headers_;
   const std::string load = std::to_string(std::min(running_.size(), kSlots)) + "," +
                            std::to_string(running_.size() > kSlots ? running_.size() - kSlots : 0) +
                            "," + std::to_string(kSlots) + ",100";
   if (request.head_.target_ == "/healthz") {
-    return connection->Respond(200, {{"Instance-Id", name_}, {"Server-Load", load}}, {});
+    return exchange->Respond(200, {{"Instance-Id", name_}, {"Server-Load", load}}, {});
   }
   const std::string* id = http::FindHeader(headers, "Attempt-Id");
   const std::string* expected = http::FindHeader(headers, "Expect-Instance");
   if (id == nullptr || !results_.sent_.contains(*id)) {
     results_.violations_.push_back("request that no caller sent at " + name_);
-    return connection->Respond(400, {{"Not-Executed", "1"}}, {});
+    return exchange->Respond(400, {{"Not-Executed", "1"}}, {});
   }
   if (expected == nullptr || *expected != name_) {
-    return connection->Respond(421, {{"Instance-Id", name_}}, {});
+    return exchange->Respond(421, {{"Instance-Id", name_}}, {});
   }
   if (Now() > no_requests_after_)
     results_.violations_.push_back("request at " + name_ + " after it left service: " + *id);
@@ -125,36 +125,36 @@
   std::vector<TargetWork>& work = results_.work_[*id];
   work.push_back({&faults_, Now()});
   if (mode_ == TargetMode::kRefuses || running_.size() >= kSlots + kMaxQueue) {
-    return connection->Respond(503, {{"Not-Executed", "1"}, {"Attempt-Id", *id}}, {});
+    return exchange->Respond(503, {{"Not-Executed", "1"}, {"Attempt-Id", *id}}, {});
   }
   if (asks_for_pauses_ && notice_random_() % 2 == 0) {
     // An idempotent request may have been cancelled, so that its host does not read the response.
     if (sent.non_idempotent_) {
       results_.notices_.push_back(MakeNotice(sent.host_, std::chrono::seconds(kPauseSeconds)));
     }
-    return connection->Respond(503,
-                               {{"Not-Executed", "1"},
-                                {"Attempt-Id", *id},
-                                {"Retry-After", std::to_string(kPauseSeconds)}},
-                               {});
+    return exchange->Respond(503,
+                             {{"Not-Executed", "1"},
+                              {"Attempt-Id", *id},
+                              {"Retry-After", std::to_string(kPauseSeconds)}},
+                             {});
   }
   const int executions = ++results_.executions_[*id];
   if (executions > 1 && sent.non_idempotent_)
     results_.violations_.push_back("second execution of " + *id);
-  if (mode_ == TargetMode::kResets) return connection->Abort();
+  if (mode_ == TargetMode::kResets) return exchange->Abort();
   if (mode_ == TargetMode::kFails) {
-    return connection->Respond(500, {{"Attempt-Id", *id}, {"Server-Signature", name_}}, "failed");
+    return exchange->Respond(500, {{"Attempt-Id", *id}, {"Server-Signature", name_}}, "failed");
   }
   const int work_ms =
       mode_ == TargetMode::kHangs ? 60'000 : std::uniform_int_distribution<int>(10, 60)(random_);
   const std::size_t ahead = running_.size() < kSlots ? 0 : running_.size() - kSlots + 1;
-  running_.push_back({connection, *id, ExpectedBody(request.head_.target_, request.body_),
+  running_.push_back({exchange, *id, ExpectedBody(request.head_.target_, request.body_),
                       Now() + std::chrono::milliseconds(work_ms * (1 + ahead)), work.size() - 1});
 }
 
-void Target::OnCallerDisconnected(const http::ServerConnectionPtr& connection) {
+void Target::OnCallerDisconnected(const http::ServerExchangePtr& exchange) {
   std::erase_if(running_, [&](const RunningRequest& request) {
-    if (request.connection_ != connection) return false;
+    if (request.exchange_ != exchange) return false;
     results_.work_[request.id_][request.work_].end_ = Now();
     return true;
   });
@@ -204,7 +204,7 @@
       headers.emplace_back("Server-Leaving", "1");
       results_.pending_notices_[request.id_] = MakeNotice(results_.sent_[request.id_].host_, {});
     }
-    request.connection_->Respond(200, headers, request.body_);
+    request.exchange_->Respond(200, headers, request.body_);
   }
   if (gives_notices_ && now >= next_notice_change_) ChangeNotice(now);
   timer_.Set(now + kTimerInterval);
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -54,7 +54,7 @@
   int answered_ = 0;
   int unknown_ = 0;
   int abandoned_ = 0;         // The caller closed the connection in the middle of a response.
-  int without_response_ = 0;  // No connection, connection lost, or deadline passed.
+  int without_response_ = 0;  // No exchange, connection lost, or deadline passed.
   int answered_after_recovery_ = 0;  // Of sent_after_recovery_.
   int sent_after_recovery_ = 0;      // Requests sent after the faults and the recovery time.
 };
@@ -88,15 +88,15 @@
 
  private:
   struct RunningRequest {
-    http::ServerConnectionPtr connection_;
+    http::ServerExchangePtr exchange_;
     std::string id_;
     std::string body_;
     Time end_{};
     std::size_t work_ = 0;  // Index in SoakResults::work_.
   };
-  void OnRequest(const http::ServerConnectionPtr& connection, http::Request request) override;
-  void OnCallerDisconnected(const http::ServerConnectionPtr& connection) override;
-  void OnResponseFlushed(const http::ServerConnectionPtr& /*connection*/) override {}
+  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override;
+  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override;
+  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
   void OnRejected(int status, std::string_view reason) override;
   void OnTimer();
   void UpdateFaultTimes();
