gateway: the probes of a zone in an outage do not grow with it

Cause: in an outage of the store every host of a zone probes it, the low-ranked ones every 0.8 s, and a refused call is billed.

Change: in a zone that can follow another one, the hosts of a turn probe one after another, at 200 ms for the first turn and twice the interval for each further one. The first probe of each host comes as before, so a store that serves only a few hosts is found as soon. A follower that the store did not serve probes it at intervals only if it ranks high or would replace its reader.

The new test bounds them by 16 from the second one on, which the intervals before exceed.

--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -78,6 +78,7 @@
   ProbeWhileFollowing(now);
   CheckContentAge(now);
   SeekSource(now);
+  RunGate(now);
   ReportReaderState(now);
 }
 
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -81,6 +81,7 @@
   void ApplyConfiguration(const Configuration& configuration);
 
   Reader Self() const;
+  GateRank Rank() const;
   // Returns the address of the reader to read from, or an empty string if there is none or if this
   // host is a reader itself.
   std::string BestSource(Time now) const;
--- a/src/gateway/internal/store_sync_source.cc
+++ b/src/gateway/internal/store_sync_source.cc
@@ -79,8 +79,9 @@
 void StoreSync::ProbeWhileFollowing(Time now) {
   const Duration probe_interval =
       follows_other_zone_ ? kProbeIntervalOtherZone : kProbeIntervalFollowing;
+  const bool may_replace = follows_other_zone_ || ShouldReplaceReaders(Self(), zone_.readers_);
   if (!source_.empty() && !reaches_store_ && gate_.state_ == StoreGate::State::kClosed &&
-      now >= last_probe_ + probe_interval) {
+      now >= last_probe_ + probe_interval && ProbesWhileFollowing(Rank(), may_replace)) {
     ProbeStore(now);
   }
 }
@@ -111,6 +112,8 @@
   }
 }
 
+GateRank StoreSync::Rank() const { return {zone_.higher_ranked_, !hosts_of_other_zones_.empty()}; }
+
 Reader StoreSync::Self() const {
   return {self_.name_, self_.control_address_, self_.capacity_, ConfirmedAt()};
 }
@@ -169,7 +172,7 @@
 }
 
 void StoreSync::RunGate(Time now) {
-  switch (TakeAction(gate_, zone_.higher_ranked_, now)) {
+  switch (TakeAction(gate_, Rank(), now)) {
     case GateAction::kNone:
       break;
     case GateAction::kProbe:
--- a/src/gateway/store_gate.h
+++ b/src/gateway/store_gate.h
@@ -12,6 +12,13 @@
 // store, at the same moment; each of them waits for its turn by its rank, so that the number of
 // hosts that read the store does not grow with the zone. A host that finds a reader before its turn
 // gives it up. Pure logic: the caller makes the calls and passes the time in.
+// Position of a host among those of its zone that wait for the store.
+struct GateRank {
+  std::size_t higher_ranked_ = 0;  // Live hosts of the zone that rank higher.
+  // Other zones are known, which the hosts of high rank follow if the store serves only those.
+  bool has_other_zones_ = false;
+};
+
 struct StoreGate {
   enum class State {
     kClosed,   // The store is not needed, or is being read.
@@ -22,20 +29,20 @@
   std::string_view cause_;  // Of the request, for the log.
   Time requested_at_{};
   Time next_at_{};
-  int probes_ = 0;  // Since the request.
+  Time probed_at_{};  // When the last probe was sent.
+  int probes_ = 0;    // Since the request.
   int failed_probes_ = 0;
 };
 
 enum class GateAction { kNone, kProbe, kRead };
 
-// Asks for a turn. `higher_ranked` is the number of live hosts of the zone that rank higher than
-// this one. Has no effect if a turn was requested before.
+// Asks for a turn. Has no effect if a turn was requested before.
 void RequestTurn(StoreGate& gate, std::string_view cause, std::size_t higher_ranked, Time now);
 // Ends the request: a source confirms the content again, or the store is being read.
 void CloseGate(StoreGate& gate);
 // Returns what is due. After kProbe, the next probe is due one interval later, whether or not this
 // one has ended: a lost packet must not delay the next one.
-GateAction TakeAction(StoreGate& gate, std::size_t higher_ranked, Time now);
+GateAction TakeAction(StoreGate& gate, const GateRank& rank, Time now);
 // Applies the result of a probe.
 void ApplyProbeResult(StoreGate& gate, bool is_served, std::size_t higher_ranked, Time now);
 
@@ -45,8 +52,15 @@
 
 // Returns how long a host waits for its turn.
 Duration TurnDelay(std::size_t higher_ranked);
-// Returns the interval to the next probe after `probes` earlier ones. Only few hosts have to notice
-// the return of the store at once; the others get its changes from them.
-Duration ProbeInterval(std::size_t higher_ranked, int probes);
+// Returns the interval to the next probe after `probes` earlier ones. Load pattern: the store
+// serves nobody for seconds, and every host of every zone waits for it. The hosts of high rank
+// probe most often and in turn, so that the probes of a zone per second do not grow with the zone;
+// the others get the changes from them. A zone without others to follow must find a single host
+// that is served again, so all its hosts probe often.
+Duration ProbeInterval(const GateRank& rank, int probes);
+
+// Returns whether a host that follows another one and that the store did not serve last time probes
+// it at intervals. `may_replace` tells whether it would then replace the readers.
+bool ProbesWhileFollowing(const GateRank& rank, bool may_replace);
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -313,6 +313,9 @@
   CPPUNIT_TEST(ReadersAgreeOnTheOnesThatRemain);
   CPPUNIT_TEST(FollowerKeepsAReaderThatSuffices);
   CPPUNIT_TEST(LastHostOfALargeZoneReadsTheStoreInTime);
+  CPPUNIT_TEST(ProbesOfAZoneDoNotGrowWithIt);
+  CPPUNIT_TEST(ReturnOfTheStoreIsNoticedSoon);
+  CPPUNIT_TEST(HostWhosePredecessorsHaveGoneProbesSoon);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -471,22 +474,111 @@
     // The store is asked by ever more hosts, and by all of them in the end.
     CPPUNIT_ASSERT(TurnDelay(0) == Duration{});
     CPPUNIT_ASSERT(TurnDelay(kHighRanked) > TurnDelay(kHighRanked - 1));
-    CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(kZoneHosts - 1, 0) + kRead <= kMaxChangeDelay);
-    CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(kHighRanked - 1, 1) + kRead <= kMaxChangeDelay);
+    for (const bool has_other_zones : {false, true}) {
+      const GateRank last = {kZoneHosts - 1, has_other_zones};
+      const GateRank last_high = {kHighRanked - 1, has_other_zones};
+      CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(last, 0) + kRead <= kMaxChangeDelay);
+      CPPUNIT_ASSERT(kMaxContentAge + TimeOfTurn(last_high, 1) + kRead <= kMaxChangeDelay);
+    }
   }
 
   // Returns the time from the request for a turn to the read.
-  static Duration TimeOfTurn(std::size_t higher_ranked, int lost_probes) {
+  static Duration TimeOfTurn(const GateRank& rank, int lost_probes) {
     constexpr Duration kProbeTime = milliseconds(50);
     StoreGate gate;
     const Time begin = Time{} + std::chrono::seconds(1);
-    RequestTurn(gate, "test", higher_ranked, begin);
+    RequestTurn(gate, "test", rank.higher_ranked_, begin);
     for (Time now = begin;; now = gate.next_at_) {
-      const GateAction action = TakeAction(gate, higher_ranked, now);
+      const GateAction action = TakeAction(gate, rank, now);
       if (action == GateAction::kRead) return now - begin;
       if (action != GateAction::kProbe || lost_probes-- > 0) continue;
-      ApplyProbeResult(gate, true, higher_ranked, now + kProbeTime);
+      ApplyProbeResult(gate, true, rank.higher_ranked_, now + kProbeTime);
+    }
+  }
+
+  // A zone whose hosts all wait for the store, on the virtual clock.
+  struct WaitingZone {
+    explicit WaitingZone(std::size_t hosts) : gates_(hosts) {
+      for (std::size_t i = 0; i < hosts; ++i) RequestTurn(gates_[i], "test", i, begin_);
+    }
+    // Runs until `end`. The probes of the hosts from `first_served` on succeed. Returns whether one
+    // did, and sets `now_` to its time.
+    bool RunUntil(Time end, std::size_t first_served) {
+      for (; now_ < end; now_ += milliseconds(10)) {
+        for (std::size_t i = 0; i < gates_.size(); ++i) {
+          if (TakeAction(gates_[i], {i, true}, now_) != GateAction::kProbe) continue;
+          probes_.push_back(now_);
+          if (i >= first_served) return true;
+          ApplyProbeResult(gates_[i], false, i, now_);
+        }
+      }
+      return false;
+    }
+    // Returns the most probes in one second from `since` on.
+    std::size_t MostProbesPerSecond(Time since) const {
+      std::size_t most = 0;
+      for (std::size_t first = 0, last = 0; last < probes_.size(); ++last) {
+        while (probes_[first] < since ||
+               probes_[last] - probes_[first] >= std::chrono::seconds(1)) {
+          if (++first > last) break;
+        }
+        if (first <= last) most = std::max(most, last - first + 1);
+      }
+      return most;
+    }
+
+    Time begin_ = Time{} + std::chrono::seconds(1);
+    Time now_ = begin_;
+    std::vector<StoreGate> gates_;
+    std::vector<Time> probes_;
+  };
+
+  // Load: the store serves nobody for eight seconds. Guards against probes that grow with the zone.
+  void ProbesOfAZoneDoNotGrowWithIt() {
+    constexpr std::size_t kMaxProbesPerSecond = 16;
+    for (const std::size_t hosts : {std::size_t{8}, std::size_t{62}, std::size_t{250}}) {
+      WaitingZone zone(hosts);
+      const Time end = zone.begin_ + std::chrono::seconds(8);
+      CPPUNIT_ASSERT(!zone.RunUntil(end, hosts));
+      // Every host has probed once after its turn.
+      const std::size_t most = zone.MostProbesPerSecond(zone.begin_ + std::chrono::seconds(1));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " probes in a second",
+                             most <= kMaxProbesPerSecond);
+    }
+  }
+
+  // The store serves hosts again after an outage, but not those of high rank, which may be cut off.
+  void ReturnOfTheStoreIsNoticedSoon() {
+    struct Case {
+      std::size_t first_served_;
+      Duration max_delay_;
+    };
+    for (const auto& [first_served, max_delay] :
+         {Case{0, milliseconds(400)}, Case{2, milliseconds(400)}, Case{8, milliseconds(800)}}) {
+      for (int outage_ms = 4000; outage_ms < 12000; outage_ms += 130) {
+        WaitingZone zone(62);
+        const Time end = zone.begin_ + milliseconds(outage_ms);
+        CPPUNIT_ASSERT(!zone.RunUntil(end, 62));
+        CPPUNIT_ASSERT(zone.RunUntil(end + std::chrono::seconds(20), first_served));
+        const auto delay = std::chrono::duration_cast<milliseconds>(zone.now_ - end);
+        CPPUNIT_ASSERT_MESSAGE("first host served: " + std::to_string(first_served) + ", noticed " +
+                                   std::to_string(delay.count()) + " ms later",
+                               delay <= max_delay);
+      }
+    }
+  }
+
+  // Guards against a host that waits for those of higher rank after they have gone.
+  void HostWhosePredecessorsHaveGoneProbesSoon() {
+    StoreGate gate;
+    const Time begin = Time{} + std::chrono::seconds(1);
+    RequestTurn(gate, "test", 40, begin);
+    Time now = begin;
+    for (; now < begin + std::chrono::seconds(10); now += milliseconds(10)) {
+      TakeAction(gate, {40, true}, now);
     }
+    CPPUNIT_ASSERT(gate.next_at_ > now + std::chrono::seconds(5));
+    CPPUNIT_ASSERT(TakeAction(gate, {0, true}, now) == GateAction::kProbe);
   }
 
   static Reader MakeReader(const HostName& name, int capacity) {
