gateway: targets are kept at the load at which they answer most, requests wait at the entry host

Filled to the last slot they answer a third less, and loads of 5 to 13 were common while the useful responses fell from 900 to 300 in two seconds.

Change, as decisions apart from input and output: - concurrency.h: the number of requests at which a target answers most per second, from its slots and the measured slowdown of nearly full targets (4 of 6; all of 1 or 2). - admission.h: a request that finds all targets at that load waits at its host, in order of arrival, as long as the host's own rate lets it meet its objective; more are rejected at once, without probes. The oldest looks for a target when a response of this host frees a slot, or every 20 ms. - Only the host that freed a slot takes the last one below that load with certainty: others take it with the share of requests that were answered, as many hosts see the same slot. - placement: a target that is expected to meet the objective goes before a faster one beyond it.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -75,12 +75,13 @@
 class Call::Attempt : public http::IExchangeHandler {
  public:
   Attempt(Call& call, TargetPtr target, http::ClientConnectionPtr connection, Time sent,
-          double slowness)
+          double slowness, bool nearly_full)
       : call_(call),
         target_(std::move(target)),
         connection_(std::move(connection)),
         sent_at_(sent),
-        slowness_(slowness) {}
+        slowness_(slowness),
+        nearly_full_(nearly_full) {}
 
   void Send(Duration time_left) {
     const http::RequestHead& head = call_.request_.head_;
@@ -171,6 +172,7 @@
   http::ClientConnectionPtr connection_;
   Time sent_at_;
   double slowness_;
+  bool nearly_full_;  // The target, with this request.
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
@@ -232,7 +234,7 @@
   return candidate;
 }
 
-PlacementInputs Call::MakePlacementInputs() const {
+PlacementInputs Call::MakePlacementInputs(Time now) const {
   PlacementInputs inputs;
   const ServiceTimeEstimate& service_time =
       state_.services_.at(service_).service_times_[static_cast<std::size_t>(route_->kind_)];
@@ -240,17 +242,77 @@
   inputs.service_time_known_ = service_time.samples_ >= kMinServiceTimeSamples;
   inputs.cross_zone_delay_ = kCrossZoneDelay;
   inputs.large_response_ = route_->kind_ == RequestKind::kDownload;
+  inputs.busy_factor_ = BusyFactor(service_time.busy_slowdown_);
+  inputs.objective_left_ = ObjectiveLeft(now);
   return inputs;
 }
 
+ServiceLoad Call::CurrentServiceLoad(Time now) {
+  return {static_cast<int>(Service().queued_requests_.size()) - (queued_ ? 1 : 0),
+          AnsweredPerSecond(Service().recent_requests_, now)};
+}
+
 void Call::StartSelection(SendPurpose purpose, Time now) {
   selecting_ = true;
   purpose_ = purpose;
+  searches_ = 0;
+  // The requests that wait have found no target. A new one waits behind them, and is rejected
+  // without a search if they already use up its time.
+  const ServiceLoad load = CurrentServiceLoad(now);
+  if (purpose == SendPurpose::kFirst && load.queued_ > 0) {
+    const PlacementInputs inputs = MakePlacementInputs(now);
+    if (load.queued_ < MaxQueuedRequests(load, inputs.service_time_, inputs.objective_left_)) {
+      return WaitForTarget(now);
+    }
+    return EndOverloaded({AdmissionAction::kReject, inputs.service_time_}, now);
+  }
+  StartSearch(now);
+}
+
+void Call::StartSearch(Time now) {
+  ++searches_;
   round_ = 0;
   probed_targets_.clear();
   StartProbeRound(now);
 }
 
+void Call::WaitForTarget(Time now) {
+  if (!queued_) Service().queued_requests_.push_back(this);
+  queued_ = true;
+  waiting_ = true;
+  freed_target_.clear();
+  ReleaseProbes();
+  round_end_ = now + kQueuePollInterval;
+  SetTimer();
+}
+
+void Call::SearchSoon(const TargetPtr& freed, Time now) {
+  if (!waiting_) return;
+  if (freed != nullptr) freed_target_ = freed->record_.id_;
+  // The timer ends the wait, so that the calls do not nest.
+  round_end_ = now;
+  SetTimer();
+}
+
+void Call::OnWaitEnded(Time now) {
+  if (Service().queued_requests_.front() == this) {
+    waiting_ = false;
+    return StartSearch(now);
+  }
+  const PlacementInputs inputs = MakePlacementInputs(now);
+  if (inputs.objective_left_ < inputs.service_time_) {
+    return EndOverloaded({AdmissionAction::kReject, inputs.service_time_}, now);
+  }
+  round_end_ = now + kQueuePollInterval;
+  SetTimer();
+}
+
+// A request that waits looks for targets in other zones less often than in its own.
+bool Call::MayWidenSearch() const {
+  constexpr int kSearchesPerWideOne = 3;
+  return searches_ % kSearchesPerWideOne == 1;
+}
+
 void Call::StartProbeRound(Time now) {
   std::vector<TargetPtr> eligible;
   std::vector<Candidate> local;
@@ -271,6 +333,16 @@
     }
   }
   std::vector<std::size_t> selected = SelectProbeTargets(local, kProbesPerRound, state_.random_);
+  const auto freed = std::find_if(eligible.begin(), eligible.end(), [this](const auto& target) {
+    return target->record_.id_ == freed_target_;
+  });
+  if (freed != eligible.end()) {
+    const auto index = static_cast<std::size_t>(freed - eligible.begin());
+    if (std::find(selected.begin(), selected.end(), index) == selected.end()) {
+      if (selected.size() == kProbesPerRound) selected.pop_back();
+      selected.push_back(index);
+    }
+  }
   const bool widen = round_ > 0 || selected.empty();
   if (widen) {
     const auto more = SelectProbeTargets(remote, kProbesPerRound, state_.random_);
@@ -294,7 +366,7 @@
 }
 
 void Call::OnProbeFinished(Time now) {
-  if (is_finished_ || !selecting_) return;
+  if (is_finished_ || !selecting_ || waiting_) return;
   const bool running = std::any_of(probes_.begin(), probes_.end(),
                                    [](const ProbePtr& probe) { return probe->IsRunning(); });
   if (!running) return EvaluateRound(now);
@@ -314,6 +386,7 @@
     if (!CanSendNow(state_, *probes_[i]->Target(), now)) continue;
     Candidate candidate = MakeCandidate(*probes_[i]->Target(), i, now);
     candidate.load_ = probes_[i]->Load();
+    candidate.just_freed_ = probes_[i]->Target()->record_.id_ == freed_target_;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -321,23 +394,28 @@
 
 void Call::EvaluateRound(Time now) {
   std::vector<Candidate> candidates = MakeAnsweredCandidates(now);
-  const PlacementInputs inputs = MakePlacementInputs();
+  PlacementInputs inputs = MakePlacementInputs(now);
+  inputs.leaves_last_slot_ =
+      !TakesLastSlot(Service().recent_requests_, queued_, now, state_.random_);
   while (true) {
     const auto chosen = ChooseTarget(candidates, inputs);
     const auto best = std::find_if(candidates.begin(), candidates.end(), [&](const auto& item) {
       return chosen && item.index_ == *chosen;
     });
     const bool found = best != candidates.end();
-    const bool widen = !found || (round_ == 1 && ShouldWidenSearch(*best, inputs));
+    const bool widen =
+        !found || (round_ == 1 && ShouldWidenSearch(*best, inputs) && MayWidenSearch());
     if (widen && round_ < kMaxProbeRounds && probed_targets_.size() < Service().targets_.size()) {
       return StartProbeRound(now);
     }
     if (!found) return EndWithoutTarget(now);
     chosen_target_load_ = FormatLoad(best->load_);
     expected_response_time_ = ExpectedResponseTime(*best, inputs);
-    const AdmissionDecision decision = DecideAdmission(*best, inputs, expected_response_time_,
-                                                       deadline_ - now, ObjectiveLeft(now));
-    if (!decision.admitted_) return EndOverloaded(decision, now);
+    const AdmissionDecision decision =
+        DecideAdmission(*best, inputs, expected_response_time_, deadline_ - now, ObjectiveLeft(now),
+                        CurrentServiceLoad(now));
+    if (decision.action_ == AdmissionAction::kQueue && attempts_.empty()) return WaitForTarget(now);
+    if (decision.action_ != AdmissionAction::kSend) return EndOverloaded(decision, now);
     // A hedged request is sent only if the target is likely to respond quickly.
     if (!attempts_.empty() && ShouldWidenSearch(*best, inputs)) {
       EndSelection();
@@ -371,6 +449,16 @@
 
 void Call::EndSelection() {
   selecting_ = false;
+  waiting_ = false;
+  if (std::exchange(queued_, false)) {
+    IQueuedRequest* const self = this;
+    std::erase(Service().queued_requests_, self);
+    WakeQueuedRequest(Service(), nullptr, Now());
+  }
+  ReleaseProbes();
+}
+
+void Call::ReleaseProbes() {
   for (const ProbePtr& probe : probes_) {
     if (probe->IsRunning()) {
       probe->Detach();
@@ -406,7 +494,9 @@
                        {"why", purpose_ == SendPurpose::kHedge ? "slow" : last_result_},
                        {"sends", std::to_string(send_count_ + 1)}});
   }
-  const double slowness = probe.Load() ? probe.Load()->slowness_percent_ / 100.0 : 1.0;
+  const auto& load = probe.Load();
+  const double slowness = load ? load->slowness_percent_ / 100.0 : 1.0;
+  const bool nearly_full = load && IsNearlyFull(load->running_ + load->waiting_ + 1, load->slots_);
   ++send_count_;
   ++possibly_executed_sends_;
   attempted_targets_.push_back(target->record_.id_);
@@ -414,11 +504,13 @@
   if (IsCold(target->cold_, now)) state_.metrics_.CountColdSend(service_);
   RecordSend(state_, *target, now);
   EndSelection();
-  auto attempt = std::make_shared<Attempt>(*this, target, std::move(connection), now, slowness);
+  auto attempt =
+      std::make_shared<Attempt>(*this, target, std::move(connection), now, slowness, nearly_full);
   attempts_.push_back(attempt);
   hedge_at_ = Time::max();
   if (IsIdempotent(route_->kind_) && send_count_ < route_->max_attempts_ && attempts_.size() == 1) {
-    hedge_at_ = now + HedgeDelay(MakePlacementInputs().service_time_, expected, ObjectiveLeft(now));
+    hedge_at_ =
+        now + HedgeDelay(MakePlacementInputs(now).service_time_, expected, ObjectiveLeft(now));
   }
   attempt->Send(deadline_ - now);
   SetTimer();
@@ -455,7 +547,11 @@
   EndUnusableResponses(now);
   if (is_finished_) return;
   if (selecting_ && now >= round_end_) {
-    EvaluateRound(now);
+    if (waiting_) {
+      OnWaitEnded(now);
+    } else {
+      EvaluateRound(now);
+    }
   } else if (now >= hedge_at_) {
     hedge_at_ = Time::max();
     if (!selecting_ && !streaming_ && attempts_.size() == 1 && CanRetry(now)) {
@@ -527,7 +623,7 @@
 
 void Call::CountTargetTimeout(TargetState& target, Duration duration, Time now) {
   // If the deadline was too short from the start, the timeout is not a failure of the target.
-  if (duration < MakePlacementInputs().service_time_ * 3) return;
+  if (duration < MakePlacementInputs(now).service_time_ * 3) return;
   if (!RecordTimeoutAndCheckTargetFault(state_.route_timeout_stats_[route_->name_])) return;
   RecordFailure(target.health_, now);
   state_.on_target_failed_(target.record_.id_);
@@ -551,7 +647,7 @@
     RecordSuccess(attempt.target_->health_, now);
     RecordInTime(state_.route_timeout_stats_[route_->name_]);
     UpdateServiceTime(Service().service_times_[static_cast<std::size_t>(route_->kind_)], duration,
-                      attempt.slowness_);
+                      attempt.slowness_, attempt.nearly_full_);
     state_.metrics_.CountSend(service_, "answered");
     return RelayResponse(attempt);
   }
@@ -610,7 +706,7 @@
   }
   if (error_response_ != nullptr) return RelayResponse(*error_response_);
   if (possibly_executed_sends_ == 0) {
-    const Duration delay = JitterRetryDelay(MakePlacementInputs().service_time_,
+    const Duration delay = JitterRetryDelay(MakePlacementInputs(now).service_time_,
                                             Service().recent_requests_, state_.random_);
     return RespondWithError(503, EndReason::kTargetsRefused,
                             std::max(delay, TimeUntilPauseEnds(state_, Service(), now)), now);
@@ -622,10 +718,12 @@
   const auto found = std::find_if(attempts_.begin(), attempts_.end(),
                                   [&attempt](const auto& item) { return item.get() == &attempt; });
   if (found == attempts_.end()) return;
-  --attempt.target_->in_flight_;
+  const TargetPtr target = attempt.target_;
+  --target->in_flight_;
   state_.pool_.Release(attempt.connection_);
   finished_attempts_.push_back(*found);
   attempts_.erase(found);
+  WakeQueuedRequest(state_.services_[target->record_.service_], target, Now());
 }
 
 void Call::CancelAttempts(const Attempt* kept) {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -60,11 +60,11 @@
 };
 
 // One request of a caller, from its arrival to the final response.
-class Call : public std::enable_shared_from_this<Call> {
+class Call : public std::enable_shared_from_this<Call>, private IQueuedRequest {
  public:
   Call(GatewayState& state, ICallOwner& owner, http::ServerExchangePtr exchange,
        http::Request request);
-  ~Call();
+  ~Call() override;
 
   void Start(Time now);
   void OnCallerDisconnected();
@@ -81,12 +81,21 @@
   enum class SendPurpose { kFirst, kRetry, kHedge };
 
   void StartSelection(SendPurpose purpose, Time now);
+  void StartSearch(Time now);
   void StartProbeRound(Time now);
   void OnProbeFinished(Time now);
   void EvaluateRound(Time now);
   std::vector<Candidate> MakeAnsweredCandidates(Time now) const;
   void EndWithoutTarget(Time now);
   void EndOverloaded(const AdmissionDecision& decision, Time now);
+  void SearchSoon(const TargetPtr& freed, Time now) override;
+  // Searches again if this is the oldest waiting request of its service.
+  void OnWaitEnded(Time now);
+  // Lets the request wait for a target below its efficient load, then searches again.
+  void WaitForTarget(Time now);
+  bool MayWidenSearch() const;
+  ServiceLoad CurrentServiceLoad(Time now);
+  void ReleaseProbes();
   void EndSelection();
   bool SendToTarget(Probe& probe, Duration expected, Time now);
   Duration ObjectiveLeft(Time now) const;
@@ -118,7 +127,7 @@
   // Logs `request_done` when the response has its turn among those of its connection.
   void LogFinished(int status, EndReason reason, Duration waiting, Duration total, Time now);
   Candidate MakeCandidate(const TargetState& target, std::size_t index, Time now) const;
-  PlacementInputs MakePlacementInputs() const;
+  PlacementInputs MakePlacementInputs(Time now) const;
   ServiceState& Service() { return state_.services_[service_]; }
 
   GatewayState& state_;
@@ -136,7 +145,11 @@
   bool selecting_ = false;
   SendPurpose purpose_ = SendPurpose::kFirst;
   int round_ = 0;
-  Time round_end_{};
+  Time round_end_{};       // Of the probe round, or of the wait for a target.
+  bool queued_ = false;    // Is one of ServiceState::queued_requests_.
+  bool waiting_ = false;   // No round is in progress.
+  TargetId freed_target_;  // See SearchSoon; may be empty.
+  int searches_ = 0;       // Since the selection started.
   std::vector<ProbePtr> probes_;
   std::vector<TargetId> probed_targets_;
 
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -170,6 +170,10 @@
   }
 }
 
+void WakeQueuedRequest(ServiceState& service, const TargetPtr& freed, Time now) {
+  if (!service.queued_requests_.empty()) service.queued_requests_.front()->SearchSoon(freed, now);
+}
+
 std::uint64_t MaxPreferredAffinity(std::vector<std::uint64_t> affinities) {
   if (affinities.size() <= kPreferredTargets) return std::numeric_limits<std::uint64_t>::max();
   std::nth_element(affinities.begin(), affinities.begin() + kPreferredTargets - 1,
@@ -197,13 +201,15 @@
   target.cold_.cold_until_ = std::max(target.cold_.cold_until_, now + remaining);
 }
 
-void UpdateServiceTime(ServiceTimeEstimate& estimate, Duration duration, double slowness) {
+void UpdateServiceTime(ServiceTimeEstimate& estimate, Duration duration, double slowness,
+                       bool nearly_full) {
   // The first samples have a larger weight, so that the estimate adapts to a new service at once.
   constexpr int kWindow = 30;
   estimate.samples_ = std::min(estimate.samples_ + 1, kWindow);
   const Duration normalized =
       std::chrono::duration_cast<Duration>(duration / std::max(slowness, 0.5));
   estimate.mean_ += (normalized - estimate.mean_) / estimate.samples_;
+  RecordResponseTime(estimate.busy_slowdown_, normalized, nearly_full);
 }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include "base/address.h"
 #include "gateway/admission.h"
+#include "gateway/concurrency.h"
 #include "gateway/gateway_types.h"
 #include "gateway/icall_format.h"
 #include "gateway/internal/gateway_metrics.h"
@@ -48,12 +50,24 @@
 struct ServiceTimeEstimate {
   Duration mean_ = std::chrono::milliseconds(200);
   int samples_ = 0;
+  BusySlowdown busy_slowdown_;
+};
+
+// A request that waits for a target.
+class IQueuedRequest {
+ public:
+  virtual ~IQueuedRequest() = default;
+  // Lets the request look for a target soon. `freed`, if not null, is a target from which this host
+  // has just received a response.
+  virtual void SearchSoon(const TargetPtr& freed, Time now) = 0;
 };
 
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
   RecentRequests recent_requests_;
+  // Requests that wait for a target below its efficient load, the oldest first.
+  std::deque<IQueuedRequest*> queued_requests_;
   std::array<ServiceTimeEstimate, kRequestKindNames.size()> service_times_;  // By RequestKind.
 };
 
@@ -107,6 +121,10 @@
 // Updates the in-flight count and the rate limit of the target for one more request.
 void RecordSend(GatewayState& state, TargetState& target, Time now);
 
+// Lets the oldest request that waits for a target of the service look for one soon. `freed` may be
+// null; see IQueuedRequest.
+void WakeQueuedRequest(ServiceState& service, const TargetPtr& freed, Time now);
+
 // Returns the highest affinity_ of the targets that this host prefers. A host keeps connections to
 // only a few targets of a service, so that each connection is reused before it becomes idle and is
 // closed.
@@ -118,7 +136,9 @@
 const ServiceSpec& FindServiceSpec(const GatewayState& state, const std::string& service);
 // Marks the target as cold for at least `remaining`; never shortens the period.
 void ExtendColdPeriod(TargetState& target, Duration remaining, Time now);
-// Adds the duration of one request on a machine that was slower by the factor `slowness`.
-void UpdateServiceTime(ServiceTimeEstimate& estimate, Duration duration, double slowness);
+// Adds the duration of one request on a machine that was slower by the factor `slowness`, to a
+// target that it made nearly full or not.
+void UpdateServiceTime(ServiceTimeEstimate& estimate, Duration duration, double slowness,
+                       bool nearly_full);
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/placement.cc
+++ b/src/gateway/internal/placement.cc
@@ -7,10 +7,8 @@
 
 namespace {
 
-// Targets become slower when nearly all slots are in use: above this share of the slots, by this
-// factor.
-constexpr double kBusySlotShare = 0.8;
-constexpr double kBusyFactor = 1.7;
+// Slowdown of nearly full targets in the expected response time.
+constexpr double kBusyFactor = kDefaultBusyFactor;
 // A cold target takes about twice as long to respond.
 constexpr double kColdFactor = 2.0;
 // A target in another zone must be faster by this factor, so that small differences cause no
@@ -21,14 +19,22 @@
 // More targets are probed if the best one is slower than an idle target by more than this factor.
 constexpr double kWideningFactor = 1.45;
 
+int SlotsOf(const Candidate& candidate) {
+  return std::max(1, candidate.load_ ? candidate.load_->slots_ : candidate.slots_);
+}
+
+// Returns the number of running and waiting requests.
+int PresentRequests(const Candidate& candidate) {
+  return candidate.load_ ? candidate.load_->running_ + candidate.load_->waiting_
+                         : candidate.local_in_flight_;
+}
+
 // Returns the expected response time relative to the service time on an idle target.
 double SlowdownFactor(const Candidate& candidate) {
-  const int slots = std::max(1, candidate.load_ ? candidate.load_->slots_ : candidate.slots_);
-  const int present = candidate.load_ ? candidate.load_->running_ + candidate.load_->waiting_
-                                      : candidate.local_in_flight_;
-  const int occupied = present + 1;
+  const int slots = SlotsOf(candidate);
+  const int occupied = PresentRequests(candidate) + 1;
   double factor = 1;
-  if (occupied > kBusySlotShare * slots) factor = kBusyFactor;
+  if (IsNearlyFull(occupied, slots)) factor = kBusyFactor;
   if (occupied > slots) factor *= 1 + static_cast<double>(occupied - slots) / slots;
   if (candidate.load_) factor *= std::max(1, candidate.load_->slowness_percent_) / 100.0;
   if (candidate.cold_) factor *= kColdFactor;
@@ -51,6 +57,13 @@
 
 }  // namespace
 
+bool IsAboveEfficientLoad(const Candidate& candidate, const PlacementInputs& inputs) {
+  const int slots = SlotsOf(candidate);
+  const int limit = EfficientConcurrency(slots, inputs.busy_factor_);
+  const int left_free = inputs.leaves_last_slot_ && !candidate.just_freed_ ? 1 : 0;
+  return limit < slots && PresentRequests(candidate) >= std::max(1, limit - left_free);
+}
+
 Duration ExpectedResponseTime(const Candidate& candidate, const PlacementInputs& inputs) {
   const auto time =
       std::chrono::duration_cast<Duration>(inputs.service_time_ * SlowdownFactor(candidate));
@@ -61,7 +74,9 @@
                                         const PlacementInputs& inputs) {
   const Candidate* best = nullptr;
   const auto key = [&inputs](const Candidate& candidate) {
-    return std::tuple(HealthPenalty(candidate), Cost(candidate, inputs));
+    const bool is_second_choice = IsAboveEfficientLoad(candidate, inputs) ||
+                                  ExpectedResponseTime(candidate, inputs) > inputs.objective_left_;
+    return std::tuple(HealthPenalty(candidate), is_second_choice, Cost(candidate, inputs));
   };
   for (const Candidate& candidate : candidates) {
     if (best == nullptr || key(candidate) < key(*best)) best = &candidate;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/base_types.h"
+#include "gateway/concurrency.h"
 #include "gateway/gateway_types.h"
 
 namespace monsoonshelf::gateway {
@@ -21,6 +22,7 @@
   int slots_ = 1;                   // Concurrent requests, as registered.
   bool cold_ = false;               // Is warming up.
   std::optional<TargetLoad> load_;  // From a probe for this request; empty if not reported.
+  bool just_freed_ = false;         // This host has just received a response from it.
 };
 
 struct PlacementInputs {
@@ -28,14 +30,23 @@
   bool service_time_known_ = true;  // False while there are too few samples.
   Duration cross_zone_delay_{};     // Added by a round trip to another zone.
   bool large_response_ = false;     // Its transfer between zones is expensive.
+  double busy_factor_ = kDefaultBusyFactor;    // See BusyFactor.
+  Duration objective_left_ = Duration::max();  // Until the latency objective of the request.
+  // The request may not take the last slot below the efficient load; see TakesLastSlot.
+  bool leaves_last_slot_ = false;
 };
 
+// Returns whether one more request would make a target with many slots answer fewer requests per
+// second; see EfficientConcurrency.
+bool IsAboveEfficientLoad(const Candidate& candidate, const PlacementInputs& inputs);
+
 // Returns the expected time from sending one more request to the target until its response.
 Duration ExpectedResponseTime(const Candidate& candidate, const PlacementInputs& inputs);
 
 // Returns the index_ of the candidate with the shortest expected response time. Healthy candidates
-// precede all others, and other zones are weighted with a cost factor. Returns std::nullopt if
-// `candidates` is empty.
+// precede all others, then those that are expected to meet the objective below their efficient
+// load, and other zones are weighted with a cost factor. Returns std::nullopt if `candidates` is
+// empty.
 std::optional<std::size_t> ChooseTarget(const std::vector<Candidate>& candidates,
                                         const PlacementInputs& inputs);
 
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -332,10 +332,11 @@
     const Candidate best = PlacementTest::MakeCandidate(0, 2, 400);
     const Duration expected = ExpectedResponseTime(best, inputs);
     CPPUNIT_ASSERT(
-        DecideAdmission(best, inputs, expected, expected + milliseconds(1), seconds(10)).admitted_);
+        DecideAdmission(best, inputs, expected, expected + milliseconds(1), seconds(10)).action_ ==
+        AdmissionAction::kSend);
     const AdmissionDecision refused =
         DecideAdmission(best, inputs, expected, milliseconds(200), seconds(10));
-    CPPUNIT_ASSERT(!refused.admitted_);
+    CPPUNIT_ASSERT(refused.action_ == AdmissionAction::kReject);
     CPPUNIT_ASSERT(refused.retry_after_ >= milliseconds(50));
   }
 
@@ -345,7 +346,7 @@
     best.load_->waiting_ = 7;
     const AdmissionDecision refused = DecideAdmission(best, PlacementTest::MakeInputs(),
                                                       milliseconds(1), seconds(10), seconds(10));
-    CPPUNIT_ASSERT(!refused.admitted_);
+    CPPUNIT_ASSERT(refused.action_ == AdmissionAction::kReject);
     CPPUNIT_ASSERT_EQUAL(milliseconds(400).count() * 1000,
                          static_cast<std::int64_t>(refused.retry_after_.count()));
   }
