--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -52,7 +52,8 @@
   const bool in_time = !inputs.service_time_known_ || expected < time_left;
   const bool must_queue = best.load_ && best.load_->running_ + waiting >= slots;
   const bool too_late = inputs.service_time_known_ && must_queue && expected > objective_left;
-  const bool is_full = best.load_ && IsAboveEfficientLoad(best, inputs);
+  const bool is_full =
+      inputs.service_time_known_ && best.load_ && IsAboveEfficientLoad(best, inputs);
   AdmissionDecision decision;
   if (in_time && !too_late && !is_full && waiting < kMaxWaitingPerSlot * slots) return decision;
   if (is_full &&
--- a/src/gateway/tests/overload_test.cc
+++ b/src/gateway/tests/overload_test.cc
@@ -125,6 +125,10 @@
     };
     CPPUNIT_ASSERT(decide({0, 20}) == AdmissionAction::kQueue);
     CPPUNIT_ASSERT(decide({1, 20}) == AdmissionAction::kReject);
+    // Without samples, nothing says how long the queue takes.
+    inputs.service_time_known_ = false;
+    CPPUNIT_ASSERT(decide({1, 20}) == AdmissionAction::kSend);
+    inputs.service_time_known_ = true;
     best.load_->running_ = 3;
     CPPUNIT_ASSERT(decide({1, 20}) == AdmissionAction::kSend);
   }
