soak: callers that send several requests at once; targets that reset close their connections at once

Each host gets a caller that pipelines two to five requests, some not idempotent and some large, and checks order, identifier, body and signature. A request that a target got and that has no response counts as lost by the same check as others.

--- a/src/gateway/tests/mocks/fake_target.h
+++ b/src/gateway/tests/mocks/fake_target.h
@@ -71,7 +71,7 @@
         exchange->Respond(500, signed_headers, "error");
         break;
       case Behaviour::kDropsConnection:
-        exchange->Abort();
+        exchange->CloseConnection();
         break;
       case Behaviour::kRespondsUnsigned:
         exchange->Respond(200, {{"Id", id}}, "unsigned");
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -16,6 +16,7 @@
 #include "tests/soak/caller.h"
 #include "tests/soak/hosts.h"
 #include "tests/soak/persistent_caller.h"
+#include "tests/soak/pipelining_caller.h"
 #include "tests/soak/store.h"
 #include "tests/soak/target.h"
 
@@ -90,11 +91,15 @@
       persistent_callers_.push_back(
           std::make_unique<PersistentCaller>("p" + std::to_string(i), *hosts_[i],
                                              options_.connections_per_host_, results_, random_()));
+      // Draws nothing from the random numbers that choose the events of a seed.
+      pipelining_callers_.push_back(std::make_unique<PipeliningCaller>(
+          "q" + std::to_string(i), *hosts_[i], results_, options_.seed_ + i));
     }
     InjectEvents(seconds(options_.planned_seconds_), [this] { DoPlannedWork(); });
     InjectEvents(seconds(options_.seconds_), [this] { InjectFault(); });
     EndFaults();
     for (const auto& caller : persistent_callers_) caller->Stop();
+    for (const auto& caller : pipelining_callers_) caller->Stop();
     RunFor(kRecoveryTime);
     for (const auto& caller : callers_) caller->StartCountingRecovery();
     RunFor(seconds(2));
@@ -333,6 +338,7 @@
   std::vector<std::vector<std::string>> directories_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<PersistentCaller>> persistent_callers_;
+  std::vector<std::unique_ptr<PipeliningCaller>> pipelining_callers_;
   std::multimap<Time, std::pair<Host*, int>> signals_;
   int config_version_ = 0;
   int faults_ = 0;
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -141,7 +141,7 @@
   const int executions = ++results_.executions_[*id];
   if (executions > 1 && sent.non_idempotent_)
     results_.violations_.push_back("second execution of " + *id);
-  if (mode_ == TargetMode::kResets) return exchange->Abort();
+  if (mode_ == TargetMode::kResets) return exchange->CloseConnection();
   if (mode_ == TargetMode::kFails) {
     return exchange->Respond(500, {{"Attempt-Id", *id}, {"Server-Signature", name_}}, "failed");
   }
