--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -122,6 +122,7 @@
       review::MakeConfiguration(7, {{"r-page", "safe", "/page/", "cairn-lookup", 1200, 600, 2}}));
   const std::string ip = review::NextIp();
   std::vector<std::unique_ptr<Worker>> workers;
+  workers.reserve(kWorkers);
   for (int i = 0; i < kWorkers; ++i) {
     workers.push_back(std::make_unique<Worker>(ip, "i-" + std::to_string(1000 + i)));
   }
--- a/review/common/standins.cc
+++ b/review/common/standins.cc
@@ -27,7 +27,7 @@
 
 using Json = nlohmann::json;
 
-const Clock::time_point start_time = Clock::now();
+const Clock::time_point kStartTime = Clock::now();
 std::mutex record_mutex;
 std::mutex processes_mutex;
 std::set<int> processes;
@@ -52,7 +52,7 @@
 int FreePort(const std::string& ip) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in local = ToSocketAddress(ip + ":0");
-  bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof(local));
+  (void)bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof(local));
   socklen_t length = sizeof(local);
   getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &length);
   close(descriptor);
@@ -103,7 +103,7 @@
 }  // namespace
 
 double ElapsedMs() {
-  return std::chrono::duration<double, std::milli>(Clock::now() - start_time).count();
+  return std::chrono::duration<double, std::milli>(Clock::now() - kStartTime).count();
 }
 
 void SleepMs(int milliseconds) {
@@ -173,7 +173,7 @@
 }
 
 void Socket::SetReceiveTimeout(int timeout_ms) {
-  const timeval timeout = {timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+  const timeval timeout = {timeout_ms / 1000, static_cast<suseconds_t>(timeout_ms % 1000) * 1000};
   setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
 }
 
@@ -208,7 +208,9 @@
 
 std::string FormatResponse(int status, const Headers& headers, std::string_view body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
-  for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
+  for (const auto& [name, value] : headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   return text.append(body);
 }
@@ -306,14 +308,14 @@
   const auto found = objects_[kind].find(name);
   const std::int64_t created =
       found == objects_[kind].end() ? revision_ : found->second["metadata"]["created"].get<int>();
-  const Json object = {{"metadata",
-                        {{"name", name},
-                         {"resourceVersion", revision_},
-                         {"created", created},
-                         {"finalizers", Json::array()},
-                         {"deleting", false}}},
-                       {"spec", spec},
-                       {"status", status}};
+  Json object = {{"metadata",
+                  {{"name", name},
+                   {"resourceVersion", revision_},
+                   {"created", created},
+                   {"finalizers", Json::array()},
+                   {"deleting", false}}},
+                 {"spec", spec},
+                 {"status", status}};
   objects_[kind][name] = object;
   changes_.push_back({revision_, kind, object, false});
   store_changed.notify_all();
