review: only the folders of the cases in review/

The stand-ins move to review/ itself and each program to the folder of its case, as the issue names just these folders.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -2,7 +2,7 @@
 #include <mutex>
 #include <random>
 
-#include "review/common/standins.h"
+#include "review/standins.h"
 
 // All entry hosts of a zone are killed at the same moment and start again, while the workers of a
 // service are cold. Only one host of the zone may send requests to a cold worker.
--- a/review/common/standins.cc
+++ b/review/standins.cc
@@ -1,4 +1,4 @@
-#include "review/common/standins.h"
+#include "review/standins.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
