gateway: API keys of teams

Cause: the configuration's tenants and the Authorization header were not read, so that any request ran, and the key was passed on to the target. Change: requests need a known key unless their route allows anonymous ones; the target gets the name of the team instead of the key.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -9,6 +9,7 @@
 
 #include "base/base_types.h"
 #include "base/enum_names.h"
+#include "gateway/teams.h"
 #include "http/http_types.h"
 #include "http/server_connection.h"
 
@@ -45,6 +46,7 @@
   Duration latency_objective_{};                 // Zero if there is none.
   int max_attempts_ = 1;                         // Targets that a request may be sent to.
   int priority_ = 0;                             // 0 is the highest priority.
+  bool allows_anonymous_ = false;                // Requests need no API key.
 };
 
 struct ServiceSpec {
@@ -59,6 +61,8 @@
   std::vector<Route> routes_;
   std::map<std::string, ServiceSpec> services_;
   http::ServerLimits limits_;
+  // Empty if the deployment has no teams; requests then need no key.
+  std::optional<TeamTable> teams_;
 };
 
 // Registration of a target, written by the target.
@@ -68,6 +72,7 @@
   std::string zone_;
   std::string address_;  // IP:port.
   int slots_ = 1;        // Requests that it runs concurrently.
+  std::string version_;  // Of its software; empty if unknown.
   bool draining_ = false;
   Duration remaining_cold_time_{};
   std::int64_t started_unix_ms_ = 0;  // Start of its process; distinguishes its incarnations.
@@ -124,6 +129,18 @@
   double cold_rate_slack_ = 0;
   Duration stop_time_ = std::chrono::seconds(6);  // Maximum time from SIGTERM to the process exit.
   Duration max_directory_ttl_ = std::chrono::seconds(5);
+  // A request that was sent this long after its key was withdrawn must not run on any host.
+  bool strict_revocation_ = false;
+  Duration revocation_time_ = std::chrono::seconds(5);
+  // Requests of a team that may run in any window: (rate x window + burst) x (1 + overage) + slack.
+  Duration quota_window_ = std::chrono::seconds(5);
+  double quota_overage_ = 0.1;
+  double quota_slack_ = 20;
+  // Requests that a version under roll-out may receive: share of its service's requests + slack.
+  double exposure_share_ = 0.1;
+  double exposure_slack_ = 50;
+  // A bad version receives no request that is sent later than this after its 50th bad response.
+  Duration rollback_time_ = std::chrono::seconds(5);
 };
 
 struct GatewaySettings {
--- a/src/gateway/icall_format.h
+++ b/src/gateway/icall_format.h
@@ -16,6 +16,14 @@
   std::string id_;                     // Empty if it is missing.
   std::optional<Duration> time_left_;  // Until the caller's deadline; empty if not given.
   bool invalid_ = false;               // A header of the format cannot be parsed.
+  Credential credential_;
+};
+
+// The credentials with which a request is sent to a target.
+struct TargetCredentials {
+  // The configuration has teams: the caller's key must not reach the target.
+  bool replaces_key_ = false;
+  std::string team_;  // Name of the caller's team; empty if the request is anonymous.
 };
 
 // Metadata of a target's response.
@@ -51,7 +59,8 @@
   virtual CallInfo ReadCallInfo(const http::RequestHead& head) const = 0;
   // Returns the bytes of the request to a target. `time_left` is the time until its deadline.
   virtual std::string FormatTargetRequest(const http::RequestHead& head, std::string_view body,
-                                          const TargetId& target, Duration time_left) const = 0;
+                                          const TargetId& target, Duration time_left,
+                                          const TargetCredentials& credentials) const = 0;
   virtual TargetResponseInfo ReadTargetResponse(const http::ResponseHead& head) const = 0;
   // Returns the headers of a target's response that are forwarded to the caller.
   virtual http::Headers HeadersForCaller(const http::ResponseHead& head) const = 0;
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -55,6 +55,13 @@
   route_ = FindRoute(configuration_->configuration_, configuration_->routes_,
                      host != nullptr ? *host : "", request_.head_.target_);
   if (route_ == nullptr) return RespondWithError(404, EndReason::kNoRoute, Duration(0), now);
+  const Access access = CheckKey(now);
+  if (access.decision_ != AccessDecision::kAllowed) return EndUnauthorized(access.decision_, now);
+  priority_ = route_->priority_;
+  if (access.team_ != nullptr) {
+    team_ = access.team_->name_;
+    priority_ = access.team_->priority_.value_or(priority_);
+  }
   deadline_ = request_.received_ +
               std::min(route_->timeout_, info_.time_left_.value_or(Duration::max() / 2));
   if (now >= deadline_) return RespondWithError(503, EndReason::kTooLate, Duration(0), now);
@@ -68,6 +75,32 @@
   StartSelection(SendPurpose::kFirst, now);
 }
 
+Access Call::CheckKey(Time now) const {
+  const auto& teams = state_.configuration_->configuration_.teams_;
+  if (!teams) return {AccessDecision::kAllowed, nullptr};
+  return CheckAccess(*teams, info_.credential_, route_->allows_anonymous_,
+                     HasKeyProof(state_, now));
+}
+
+TargetCredentials Call::CredentialsForTarget() const {
+  const bool has_teams = configuration_->configuration_.teams_.has_value() ||
+                         state_.configuration_->configuration_.teams_.has_value();
+  return {has_teams, team_};
+}
+
+void Call::EndUnauthorized(AccessDecision decision, Time now) {
+  if (selecting_) EndSelection();
+  if (!attempts_.empty()) return SetTimer();
+  if (error_response_ != nullptr) return RelayResponse(*error_response_);
+  if (possibly_executed_sends_ > 0) {
+    return RespondWithError(502, EndReason::kTargetFailed, Duration(0), now);
+  }
+  if (decision == AccessDecision::kUnproven) {
+    return RespondWithError(503, EndReason::kNoKeyProof, kNotReadyRetryDelay, now);
+  }
+  RespondWithError(401, EndReason::kUnauthorized, Duration(0), now);
+}
+
 Duration Call::ObjectiveLeft(Time now) const {
   if (route_->latency_objective_.count() == 0) return deadline_ - now;
   return request_.received_ + route_->latency_objective_ - now;
@@ -320,6 +353,7 @@
   http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
   headers.emplace_back("Content-Type", "text/plain");
   if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  if (status == 401) headers.emplace_back("WWW-Authenticate", "Bearer");
   retry_after_ = retry_after;
   exchange_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   Finish(status, reason, now);
@@ -350,6 +384,7 @@
       {"reason", std::string(NameOf(kEndReasonNames, reason))},
       {"route", route_ != nullptr ? route_->name_ : ""},
       {"service", service_},
+      {"team", team_},
       {"config", configuration_ ? std::to_string(configuration_->configuration_.version_) : ""},
       {"target", attempted_targets_.empty() ? "" : attempted_targets_.back()},
       {"sends", std::to_string(send_count_)},
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -22,6 +22,8 @@
   kStopping,        // This entry host is stopping.
   kInvalid,         // The request id is missing or a header is invalid.
   kNoRoute,         // No route matches.
+  kUnauthorized,    // The key is missing, invalid or unknown.
+  kNoKeyProof,      // The key may have been withdrawn.
   kNoTarget,        // No target is eligible, or none answers a probe.
   kOverloaded,      // Admission control expects no target to respond in time.
   kTargetsRefused,  // Every target rejected the request without executing it.
@@ -31,12 +33,14 @@
   kCallerGone,      // The caller closed the connection.
 };
 
-inline constexpr EnumNames<EndReason, 12> kEndReasonNames = {{
+inline constexpr EnumNames<EndReason, 14> kEndReasonNames = {{
     {EndReason::kAnswered, "answered"},
     {EndReason::kNotReady, "not_ready"},
     {EndReason::kStopping, "stopping"},
     {EndReason::kInvalid, "invalid"},
     {EndReason::kNoRoute, "no_route"},
+    {EndReason::kUnauthorized, "unauthorized"},
+    {EndReason::kNoKeyProof, "no_key_proof"},
     {EndReason::kNoTarget, "no_target"},
     {EndReason::kOverloaded, "overloaded"},
     {EndReason::kTargetsRefused, "targets_refused"},
@@ -98,6 +102,11 @@
   void ReleaseProbes();
   void EndSelection();
   bool SendToTarget(Probe& probe, Duration expected, Time now);
+  // Checks the key against the latest configuration. Without teams every request is allowed.
+  Access CheckKey(Time now) const;
+  // Ends the request, or the search for a further target, because its key is not accepted.
+  void EndUnauthorized(AccessDecision decision, Time now);
+  TargetCredentials CredentialsForTarget() const;
   Duration ObjectiveLeft(Time now) const;
   bool CanRetry(Time now);
 
@@ -138,6 +147,8 @@
   ActiveConfigurationPtr configuration_;
   const Route* route_ = nullptr;
   std::string service_;
+  std::string team_;  // Name of the team whose key the request has; empty if anonymous.
+  int priority_ = 0;  // Of the team, or else of the route; 0 is the highest.
   Time deadline_ = Time::max();
   bool is_finished_ = false;
 
--- a/src/gateway/internal/call_attempt.cc
+++ b/src/gateway/internal/call_attempt.cc
@@ -35,9 +35,10 @@
 
 void Call::Attempt::Send(Duration time_left) {
   const http::RequestHead& head = call_.request_.head_;
-  connection_->SendRequest(call_.state_.format_.FormatTargetRequest(
-                               head, call_.request_.body_, target_->record_.id_, time_left),
-                           head.method_ == "HEAD", *this);
+  connection_->SendRequest(
+      call_.state_.format_.FormatTargetRequest(head, call_.request_.body_, target_->record_.id_,
+                                               time_left, call_.CredentialsForTarget()),
+      head.method_ == "HEAD", *this);
 }
 
 void Call::Attempt::PauseReading(bool paused) {
--- a/src/gateway/internal/counted_store.cc
+++ b/src/gateway/internal/counted_store.cc
@@ -2,18 +2,28 @@
 
 #include <utility>
 
+#include "base/clock.h"
+
 namespace monsoonshelf::gateway {
 
 void CountedStore::List(RecordKind kind, const std::string& after, Consistency consistency,
                         Duration timeout, PageCallback callback) {
   ++(consistency == Consistency::kLatest ? counts_.lists_ : counts_.stale_lists_);
-  store_.List(kind, after, consistency, timeout, std::move(callback));
+  store_.List(kind, after, consistency, timeout,
+              [sent_at = Now(), callback = std::move(callback)](StorePage page) {
+                if (!page.is_stale_) page.proof_age_ = Now() - sent_at;
+                callback(std::move(page));
+              });
 }
 
 void CountedStore::Watch(RecordKind kind, Revision revision, Duration wait, Duration timeout,
                          EventsCallback callback) {
   ++counts_.watches_;
-  store_.Watch(kind, revision, wait, timeout, std::move(callback));
+  store_.Watch(kind, revision, wait, timeout,
+               [sent_at = Now(), callback = std::move(callback)](StoreEvents events) {
+                 events.proof_age_ = Now() - sent_at;
+                 callback(std::move(events));
+               });
 }
 
 void CountedStore::CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) {
--- a/src/gateway/internal/counted_store.h
+++ b/src/gateway/internal/counted_store.h
@@ -13,7 +13,7 @@
   int writes_ = 0;
 };
 
-// Passes calls on to the store and counts them.
+// Passes calls on to the store, counts them, and states how long ago each call was made.
 class CountedStore : public IRecordStore {
  public:
   explicit CountedStore(IRecordStore& store) : store_(store) {}
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -128,6 +128,12 @@
   }
 }
 
+bool HasKeyProof(const GatewayState& state, Time now) {
+  const FleetBounds& bounds = state.settings_.bounds_;
+  return !bounds.strict_revocation_ ||
+         IsProofFresh(state.configuration_proved_at_, bounds.revocation_time_, now);
+}
+
 void EndTargetPauses(GatewayState& state, Time now) {
   for (const auto& [id, target] : state.targets_) {
     Time& paused_until = target->notices_.paused_until_;
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -81,6 +81,8 @@
   http::ConnectionPool pool_;
   Random random_;
   ActiveConfigurationPtr configuration_;
+  // Start of the last call to the store that confirmed the configuration in effect.
+  Time configuration_proved_at_{};
   std::map<std::string, ServiceState> services_;
   std::map<TargetId, TargetPtr> targets_;
   std::set<std::string> evacuated_zones_;
@@ -97,6 +99,10 @@
   std::function<void(const TargetId&)> on_target_failed_;
 };
 
+// Returns whether keys may be accepted: the configuration in effect is proven to be recent, where
+// the deployment asks for it.
+bool HasKeyProof(const GatewayState& state, Time now);
+
 // Adds or updates a target. Ignores a record of an earlier incarnation of the same target.
 void PutTarget(GatewayState& state, const TargetRecord& record, Time now);
 void RemoveTarget(GatewayState& state, const TargetId& id);
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -19,6 +19,8 @@
 constexpr std::string_view kRecordsPath = "/records/";
 // Time since the store confirmed the content, in milliseconds.
 constexpr std::string_view kAgeHeader = "Content-Age-Ms";
+// Time since the call to the store that confirmed the configuration was made, in milliseconds.
+constexpr std::string_view kProofAgeHeader = "Proof-Age-Ms";
 // Time that the request waited for changes, in milliseconds.
 constexpr std::string_view kHeldHeader = "Held-Ms";
 // What the host holds of each kind: `configuration=REVISION:DIGEST,target=REVISION:DIGEST`.
@@ -168,6 +170,11 @@
     // an earlier version do not state how long the request waited.
     const auto held = DurationHeader(result.headers_, kHeldHeader);
     if (held) events.age_ += std::max(Now() - sent_at - *held, Duration{});
+    // A proof without a travel time could be older than it says.
+    const auto proof_age = DurationHeader(result.headers_, kProofAgeHeader);
+    if (proof_age && held) {
+      events.proof_age_ = *proof_age + std::max(Now() - sent_at - *held, Duration{});
+    }
   } else if (result.status_ != 0) {
     events.status_ = StoreStatus::kRefused;
   }
@@ -176,9 +183,11 @@
 
 }  // namespace
 
-RecordServer::RecordServer(const RecordCaches& caches, std::function<Duration()> content_age)
+RecordServer::RecordServer(const RecordCaches& caches, std::function<Duration()> content_age,
+                           ProofAge proof_age)
     : caches_(caches),
       content_age_(std::move(content_age)),
+      proof_age_(std::move(proof_age)),
       timer_(g_main_context_get_thread_default(), [this] { OnTimer(); }) {}
 
 void RecordServer::OnRequest(const http::ServerExchangePtr& exchange,
@@ -236,12 +245,15 @@
   const auto age = std::chrono::ceil<std::chrono::milliseconds>(content_age_()).count();
   const auto held =
       std::chrono::floor<std::chrono::milliseconds>(Now() - request.received_at_).count();
-  request.exchange_->Respond(200,
-                             {{"Content-Type", "application/octet-stream"},
-                              {std::string(kAgeHeader), std::to_string(age)},
-                              {std::string(kHeldHeader), std::to_string(held)},
-                              {std::string(kContentsHeader), FormatContents(caches_)}},
-                             body);
+  http::Headers headers = {{"Content-Type", "application/octet-stream"},
+                           {std::string(kAgeHeader), std::to_string(age)},
+                           {std::string(kHeldHeader), std::to_string(held)},
+                           {std::string(kContentsHeader), FormatContents(caches_)}};
+  if (const auto proof_age = proof_age_()) {
+    const auto proof_age_ms = std::chrono::ceil<std::chrono::milliseconds>(*proof_age).count();
+    headers.emplace_back(kProofAgeHeader, std::to_string(proof_age_ms));
+  }
+  request.exchange_->Respond(200, headers, body);
 }
 
 void RecordServer::OnCallerDisconnected(const http::ServerExchangePtr& exchange) {
@@ -311,6 +323,7 @@
                  page.status_ = events.status_;
                  page.revision_ = events.revision_;
                  page.age_ = events.age_;
+                 page.proof_age_ = events.proof_age_;
                  page.contents_ = std::move(events.contents_);
                  for (StoreEvent& event : events.events_) {
                    page.records_.push_back(std::move(event.record_));
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -3,6 +3,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "eventloop/timer.h"
@@ -24,9 +25,13 @@
 // Serves the cached records of this host to other entry hosts.
 class RecordServer {
  public:
+  // Returns std::nullopt if the content is not proven.
+  using ProofAge = std::function<std::optional<Duration>()>;
+
   // `caches` must outlive the server. `content_age` returns the time since the store confirmed the
-  // content of the caches.
-  RecordServer(const RecordCaches& caches, std::function<Duration()> content_age);
+  // content of the caches, `proof_age` the time since the call that confirmed it was made.
+  RecordServer(const RecordCaches& caches, std::function<Duration()> content_age,
+               ProofAge proof_age);
 
   void OnRequest(const http::ServerExchangePtr& exchange, const http::Request& request);
   void OnCallerDisconnected(const http::ServerExchangePtr& exchange);
@@ -59,6 +64,7 @@
 
   const RecordCaches& caches_;
   std::function<Duration()> content_age_;
+  ProofAge proof_age_;
   std::list<WaitingRequest> waiting_;
   std::map<RecordKind, CachedResponse> cached_responses_;
   eventloop::Timer timer_;
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -57,7 +57,10 @@
 }
 
 void RecordFeed::List(const std::string& after) {
-  if (after.empty()) listed_records_.clear();
+  if (after.empty()) {
+    listed_records_.clear();
+    list_started_at_ = Now();
+  }
   store_->List(kind_, after, consistency_,
                is_second_call_ ? settings_.second_call_timeout_ : settings_.list_timeout_,
                [this, generation = generation_](StorePage page) {
@@ -91,7 +94,11 @@
   // Followers get the changes with the age of this response, so a list of the store confirms them
   // before they are passed on.
   const bool confirms = !page.is_stale_;
-  if (confirms && page.contents_.empty()) Confirm(page.age_);
+  // Later pages do not show what changed in the earlier ones meanwhile.
+  if (page.proof_age_) {
+    page.proof_age_ = std::max(*page.proof_age_, Duration(Now() - list_started_at_));
+  }
+  if (confirms && page.contents_.empty()) Confirm(page.age_, page.proof_age_);
   if (is_current) handler_.on_snapshot_(listed_records_, revision_);
   listed_records_.clear();
   if (was_second_call) {
@@ -100,7 +107,9 @@
     is_next_watch_short_ = true;
     ReportGap();
   }
-  if (confirms && !page.contents_.empty() && HasContentOf(page.contents_)) Confirm(page.age_);
+  if (confirms && !page.contents_.empty() && HasContentOf(page.contents_)) {
+    Confirm(page.age_, page.proof_age_);
+  }
   const std::uint64_t generation = generation_;
   handler_.on_status_(StoreStatus::kOk);
   if (generation != generation_) return;
@@ -163,7 +172,7 @@
   }
   revision_ = std::max(revision_, events.revision_);
   // As in OnPage.
-  if (events.contents_.empty()) Confirm(events.age_);
+  if (events.contents_.empty()) Confirm(events.age_, events.proof_age_);
   is_next_watch_short_ = false;
   history_gone_ = false;
   is_second_call_ = false;
@@ -171,7 +180,7 @@
   timer_.Set(Now() + settings_.watch_pause_);
   if (!events.events_.empty()) handler_.on_events_(events.events_, revision_);
   if (HasContentOf(events.contents_)) {
-    Confirm(events.age_);
+    Confirm(events.age_, events.proof_age_);
   } else {
     // The timer that was set above lists the records.
     needs_list_ = true;
@@ -188,7 +197,8 @@
   if (handler_.on_gap_ != nullptr) handler_.on_gap_();
 }
 
-void RecordFeed::Confirm(Duration age) {
+void RecordFeed::Confirm(Duration age, std::optional<Duration> proof_age) {
+  if (proof_age) proved_at_ = std::max(proved_at_, Now() - *proof_age);
   confirmed_at_ = std::max(confirmed_at_, Now() - age);
   if (handler_.on_confirmed_ != nullptr) handler_.on_confirmed_(revision_);
 }
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -41,7 +41,9 @@
       on_change_(std::move(on_change)),
       on_host_(std::move(on_host)),
       self_(self),
-      server_(caches_, [this] { return Now() - configuration_feed_.ConfirmedAt(); }),
+      server_(
+          caches_, [this] { return Now() - configuration_feed_.ConfirmedAt(); },
+          [this] { return ProofAge(); }),
       configuration_feed_(RecordKind::kConfiguration, MakeFeedHandler(RecordKind::kConfiguration)),
       target_feed_(RecordKind::kTarget, MakeFeedHandler(RecordKind::kTarget)),
       evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)),
@@ -65,6 +67,12 @@
           [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); }};
 }
 
+std::optional<Duration> StoreSync::ProofAge() const {
+  const Time proved_at = state_.configuration_proved_at_;
+  if (proved_at == Time{}) return std::nullopt;
+  return Now() - proved_at;
+}
+
 void StoreSync::OnTick(const ZoneReaders& zone, Time now) {
   replaced_peer_stores_.clear();
   ReportContentAge(now);
@@ -232,6 +240,7 @@
     // A target with an unreadable registration is removed. An unreadable configuration leaves the
     // previous one in effect; it is read once more, in case only the response was spoiled.
     if (kind == RecordKind::kTarget) RemoveTarget(state_, record.name_);
+    if (kind == RecordKind::kConfiguration) is_configuration_unreadable_ = true;
     if (kind == RecordKind::kConfiguration &&
         std::exchange(unreadable_configuration_, record.revision_) != record.revision_) {
       configuration_feed_.RequestList();
@@ -239,6 +248,7 @@
     return;
   }
   if (const auto* configuration = std::get_if<Configuration>(&record.value_)) {
+    is_configuration_unreadable_ = false;
     ApplyConfiguration(*configuration);
   } else if (const auto* target = std::get_if<TargetRecord>(&record.value_)) {
     PutTarget(state_, *target, Now());
@@ -307,6 +317,10 @@
     served_at_ = now;
   }
   if (kind != RecordKind::kConfiguration) return;
+  if (!is_configuration_unreadable_) {
+    state_.configuration_proved_at_ =
+        std::max(state_.configuration_proved_at_, configuration_feed_.ProvedAt());
+  }
   if (!source_.empty() && !IsContentOld(now) && gate_.cause_ != detail::kCapacityCause &&
       !(follows_other_zone_ && reaches_store_)) {
     CloseGate(gate_);
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -118,6 +118,8 @@
   void OnOwnCallEnded(Time now) { last_own_call_ = now; }
   std::string SinceLastOwnCall(Time now) const;
   void OnSourceFailed(StoreStatus status, Time now);
+  // Returns the time since the call that proved the configuration in effect was made.
+  std::optional<Duration> ProofAge() const;
   void MarkStoreLost(StoreStatus status);
   void OnSourceConfirmed(Time now);
 
@@ -153,6 +155,8 @@
   StoreGate gate_;
   bool is_reading_store_ = false;  // Watches the store, as the only or as a further reader.
   bool is_reported_reader_ = false;
+  // The latest configuration of the source could not be read, so it is not the one in effect.
+  bool is_configuration_unreadable_ = false;
   std::size_t next_seed_ = 0;
   // Changes of the source since the content was last confirmed.
   int unconfirmed_source_changes_ = 0;
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   Revision revision_ = 0;
   // Time since the store confirmed the content; 0 unless another host passed the content on.
   Duration age_{};
+  // Time since the start of the call to the store that confirmed the content; empty if unknown.
+  std::optional<Duration> proof_age_;
   // The result of a kStale read of the store, which may lack changes of the last seconds.
   bool is_stale_ = false;
   // Content of the host that passed the page on; empty if the page comes from the store itself.
@@ -65,9 +68,10 @@
 struct StoreEvents {
   StoreStatus status_ = StoreStatus::kUnreachable;
   std::vector<StoreEvent> events_;
-  Revision revision_ = 0;     // Revision to continue the watch from.
-  Duration age_{};            // As in StorePage.
-  ContentVersions contents_;  // As in StorePage.
+  Revision revision_ = 0;              // Revision to continue the watch from.
+  Duration age_{};                     // As in StorePage.
+  std::optional<Duration> proof_age_;  // As in StorePage.
+  ContentVersions contents_;           // As in StorePage.
 };
 
 struct StoreWrite {
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,9 @@
   Revision CurrentRevision() const { return revision_; }
   // Returns when the store last confirmed the content, zero if it never did.
   Time ConfirmedAt() const { return confirmed_at_; }
+  // Returns the start of the last call to the store that confirmed the content; zero if none did.
+  // Changes that the store acknowledged before this time are part of the content.
+  Time ProvedAt() const { return proved_at_; }
 
  private:
   void List(const std::string& after);
@@ -89,7 +93,7 @@
   bool CallAgain(StoreStatus status);
   // Returns whether the response, which was applied, describes the content of this host.
   bool HasContentOf(const ContentVersions& contents) const;
-  void Confirm(Duration age);
+  void Confirm(Duration age, std::optional<Duration> proof_age);
   void ReportGap();
 
   IRecordStore* store_ = nullptr;
@@ -109,9 +113,11 @@
   Consistency consistency_ = Consistency::kStale;
   std::vector<StoredRecord> listed_records_;  // Of the pages received so far.
   Revision listed_revision_ = 0;
+  Time list_started_at_{};
   Revision revision_ = 0;
   Duration retry_delay_;
   Time confirmed_at_{};
+  Time proved_at_{};
 };
 
 }  // namespace monsoonshelf::gateway
--- /dev/null
+++ b/src/gateway/tests/key_access_test.cc
@@ -0,0 +1,179 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "gateway/internal/counted_store.h"
+#include "gateway/internal/record_exchange.h"
+#include "gateway/record_feed.h"
+#include "gateway/tests/mocks/fake_target.h"
+#include "gateway/tests/mocks/gateway_host.h"
+
+namespace monsoonshelf::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using tests::FakeTarget;
+using tests::GatewayHost;
+
+Team MakeTeam(const std::string& name, const std::string& key) {
+  Team team;
+  team.name_ = name;
+  team.keys_ = {DigestKey(key)};
+  return team;
+}
+
+}  // namespace
+
+// Keys of teams on a complete gateway with a real socket to its target.
+class KeyAccessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeyAccessTest);
+  CPPUNIT_TEST(OnlyKnownKeysReachATarget);
+  CPPUNIT_TEST(WithdrawnKeyIsRejected);
+  CPPUNIT_TEST(KeyWithdrawnWhileARequestWaitsIsNotSent);
+  CPPUNIT_TEST(StaleProofRejectsWith503);
+  CPPUNIT_TEST(DeploymentsWithoutTeamsForwardHeaders);
+  CPPUNIT_TEST(OnlyStartedCallsOfTheStoreAreProofs);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    host_ = std::make_unique<GatewayHost>();
+    target_ = std::make_unique<FakeTarget>("t", "z");
+    host_->AddTarget("t", target_->listener_->LocalAddress());
+  }
+  void tearDown() override {
+    host_.reset();
+    target_.reset();
+  }
+
+  void PutTeams(std::vector<Team> teams, std::int64_t version) {
+    Configuration configuration =
+        std::get<Configuration>(host_->store_.records_[RecordKind::kConfiguration]["main"].value_);
+    configuration.version_ = version;
+    configuration.routes_[1].allows_anonymous_ = true;  // /single/
+    configuration.teams_ = TeamTable(std::move(teams));
+    host_->store_.Put(RecordKind::kConfiguration,
+                      {"main", 0, configuration, {}, "version " + std::to_string(version)});
+  }
+
+  int StatusWith(const std::string& path, const std::string& headers) {
+    http::HttpClient client(*ParseAddress(host_->settings_.front_address_), {}, 1);
+    int status = -1;
+    client.Call("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + std::to_string(++next_id_) +
+                    "\r\n" + headers + "\r\n",
+                true, std::chrono::seconds(20),
+                [&status](const http::CallResult& result) { status = result.status_; });
+    host_->loop_.RunUntil([&status] { return status >= 0; });
+    return status;
+  }
+
+  std::string TeamAtTarget() const {
+    const std::string* team = http::FindHeader(target_->last_headers_, "Team");
+    return team == nullptr ? "none" : *team;
+  }
+
+  // Guards against requests that run without a key, as another team, or with the key passed on.
+  void OnlyKnownKeysReachATarget() {
+    PutTeams({MakeTeam("a", "k1"), MakeTeam("b", "k2")}, 4);
+    CPPUNIT_ASSERT(host_->Start());
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/safe/1", "Key: k2\r\nTeam: a\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), TeamAtTarget());
+    CPPUNIT_ASSERT(http::FindHeader(target_->last_headers_, "Key") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/single/1", "Team: a\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), TeamAtTarget());
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/single/1", "Key: k1\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), TeamAtTarget());
+    const int received = target_->requests_received_;
+    CPPUNIT_ASSERT_EQUAL(401, StatusWith("/safe/1", ""));
+    CPPUNIT_ASSERT_EQUAL(401, StatusWith("/safe/1", "Key: unknown\r\n"));
+    CPPUNIT_ASSERT_EQUAL(401, StatusWith("/single/1", "Key: unknown\r\n"));
+    CPPUNIT_ASSERT_EQUAL(404, StatusWith("/nowhere/1", ""));
+    CPPUNIT_ASSERT_EQUAL(received, target_->requests_received_);
+  }
+
+  void WithdrawnKeyIsRejected() {
+    PutTeams({MakeTeam("a", "k1")}, 4);
+    CPPUNIT_ASSERT(host_->Start());
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/safe/1", "Key: k1\r\n"));
+    PutTeams({MakeTeam("a", "k2")}, 5);
+    CPPUNIT_ASSERT(
+        host_->loop_.RunUntil([this] { return StatusWith("/safe/1", "Key: k1\r\n") == 401; }));
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/safe/1", "Key: k2\r\n"));
+  }
+
+  // Guards against a check at arrival only: the target answers no probe until the key is gone.
+  void KeyWithdrawnWhileARequestWaitsIsNotSent() {
+    PutTeams({MakeTeam("a", "k1")}, 4);
+    CPPUNIT_ASSERT(host_->Start());
+    target_->behaviour_ = FakeTarget::Behaviour::kRejects;
+    target_->on_request_ = [this] { PutTeams({MakeTeam("a", "k2")}, 5); };
+    const int status = StatusWith("/safe/1", "Key: k1\r\n");
+    CPPUNIT_ASSERT(status == 401 || status == 503);
+    CPPUNIT_ASSERT_EQUAL(0, target_->Executions());
+  }
+
+  // Guards against a host that runs requests with keys although the store has not confirmed its
+  // configuration for long, and against a 401 for them.
+  void StaleProofRejectsWith503() {
+    host_->settings_.bounds_.strict_revocation_ = true;
+    host_->settings_.bounds_.revocation_time_ = milliseconds(1500);
+    PutTeams({MakeTeam("a", "k1")}, 4);
+    CPPUNIT_ASSERT(host_->Start());
+    CPPUNIT_ASSERT(
+        host_->loop_.RunUntil([this] { return StatusWith("/safe/1", "Key: k1\r\n") == 200; }));
+    host_->store_.status_ = StoreStatus::kUnreachable;
+    CPPUNIT_ASSERT(
+        host_->loop_.RunUntil([this] { return StatusWith("/safe/1", "Key: k1\r\n") == 503; }));
+    const int received = target_->requests_received_;
+    CPPUNIT_ASSERT_EQUAL(503, StatusWith("/safe/1", "Key: unknown\r\n"));
+    CPPUNIT_ASSERT_EQUAL(received, target_->requests_received_);
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/single/1", ""));
+    CPPUNIT_ASSERT(host_->HasMetric("requests_total", "no_key_proof"));
+    host_->store_.status_ = StoreStatus::kOk;
+    CPPUNIT_ASSERT(
+        host_->loop_.RunUntil([this] { return StatusWith("/safe/1", "Key: k1\r\n") == 200; }));
+  }
+
+  void DeploymentsWithoutTeamsForwardHeaders() {
+    CPPUNIT_ASSERT(host_->Start());
+    CPPUNIT_ASSERT_EQUAL(200, StatusWith("/safe/1", "Key: k1\r\nTeam: any\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("any"), TeamAtTarget());
+    CPPUNIT_ASSERT(http::FindHeader(target_->last_headers_, "Key") != nullptr);
+  }
+
+  // Guards against a proof that counts from the end of a slow call, or from a stale list.
+  void OnlyStartedCallsOfTheStoreAreProofs() {
+    tests::MockRecordStore store;
+    store.Put(RecordKind::kEvacuation, {"z1", 0, EvacuatedZone{"z1"}, {}, {}});
+    CountedStore counted(store);
+    RecordFeed feed(RecordKind::kEvacuation,
+                    {[](const auto& /*records*/, Revision /*revision*/) {},
+                     [](const auto& /*events*/, Revision /*revision*/) {},
+                     [](StoreStatus /*status*/) {}, nullptr, nullptr, nullptr});
+    FeedSettings settings;
+    settings.watch_pause_ = milliseconds(1);
+    feed.ReadFrom(counted, settings);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return store.HasWaitingWatches(1); }));
+    const Time watching_since = Now();
+    CPPUNIT_ASSERT(feed.ProvedAt() == Time{});
+    const Time until = Now() + milliseconds(30);
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return Now() > until; }));
+    store.ExpireWatches();
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return feed.ProvedAt() != Time{}; }));
+    CPPUNIT_ASSERT(feed.ProvedAt() <= watching_since);
+    CPPUNIT_ASSERT(feed.ConfirmedAt() >= until);
+    feed.Pause();
+  }
+
+ private:
+  std::unique_ptr<GatewayHost> host_;
+  std::unique_ptr<FakeTarget> target_;
+  int next_id_ = 100;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeyAccessTest);
+
+}  // namespace monsoonshelf::gateway
--- a/src/gateway/tests/mocks/fake_format.h
+++ b/src/gateway/tests/mocks/fake_format.h
@@ -16,16 +16,25 @@
     if (const auto* left = http::FindHeader(head.headers_, "Left-Ms")) {
       info.time_left_ = std::chrono::milliseconds(std::stoi(*left));
     }
+    if (const auto* key = http::FindHeader(head.headers_, "Key")) {
+      info.credential_ = {Credential::Kind::kKey, DigestKey(*key)};
+    }
     return info;
   }
   std::string FormatTargetRequest(const http::RequestHead& head, std::string_view body,
-                                  const TargetId& target, Duration time_left) const override {
+                                  const TargetId& target, Duration time_left,
+                                  const TargetCredentials& credentials) const override {
     http::Headers headers = head.headers_;
     http::RemoveConnectionHeaders(headers);
     http::RemoveHeader(headers, "Content-Length");
     http::RemoveHeader(headers, "Left-Ms");
     headers.emplace_back("Left-Ms", std::to_string(time_left.count() / 1000));
     headers.emplace_back("Target", target);
+    if (credentials.replaces_key_) {
+      http::RemoveHeader(headers, "Key");
+      http::RemoveHeader(headers, "Team");
+      if (!credentials.team_.empty()) headers.emplace_back("Team", credentials.team_);
+    }
     return http::FormatRequest(head.method_, head.target_, headers, body);
   }
   TargetResponseInfo ReadTargetResponse(const http::ResponseHead& head) const override {
--- a/src/gateway/tests/mocks/fake_target.h
+++ b/src/gateway/tests/mocks/fake_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,6 +54,8 @@
       return exchange->Respond(healthy_ ? 200 : 503, headers, {});
     }
     ++requests_received_;
+    last_headers_ = request.head_.headers_;
+    if (on_request_ != nullptr) on_request_();
     const std::string id = *http::FindHeader(request.head_.headers_, "Id");
     last_time_left_ms_ = std::stoi(*http::FindHeader(request.head_.headers_, "Left-Ms"));
     http::Headers signed_headers = {{"Id", id}, {"Signed", "yes"}};
@@ -111,6 +114,8 @@
   bool ignores_probes_ = false;
   http::Headers response_headers_;  // Added to the responses to requests.
   http::Headers probe_headers_;     // Added to the responses to probes.
+  http::Headers last_headers_;      // Of the last request.
+  std::function<void()> on_request_;
   int reported_running_ = 0;
   int cold_time_ms_ = 0;
   int probes_received_ = 0;
