gateway: order of waiting requests by priority and team

Cause: the priority of a route was read and used by no decision, and a team that sends many times its usual took the places of the others in a full queue. Change: a function over plain structs orders the queue of a service by priority, then by the recent use of the team, then by age; every eighth turn goes to the oldest request. A full queue gives the place of the last one to a more urgent arrival. Less urgent requests do not enter the queues of targets while more urgent ones of the service are refused.

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -20,6 +20,7 @@
 struct ServiceLoad {
   int queued_ = 0;  // Requests that wait for a target below its efficient load.
   double answered_per_second_ = 0;
+  bool yields_ = false;  // The request leaves the queues of targets to more urgent ones.
 };
 
 // Decides whether to send a request to `best`, the target that was chosen for it and that is
@@ -60,8 +61,9 @@
 // of the service were answered, and one that waits leaves it to the host that freed it.
 bool TakesLastSlot(const RecentRequests& recent, bool waits, Time now, Random& random);
 
-// Returns the rate of the last second.
+// Return the rates of the last second.
 double AnsweredPerSecond(const RecentRequests& recent, Time now);
+double RefusedPerSecond(const RecentRequests& recent, Time now);
 
 // Returns the Retry-After time for a rejected caller: `min_delay` plus a random part. The random
 // part is at most `min_delay` plus the time, within a limit, that the targets need for all recently
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -54,8 +54,10 @@
   const bool too_late = inputs.service_time_known_ && must_queue && expected > objective_left;
   const bool is_full =
       inputs.service_time_known_ && best.load_ && IsAboveEfficientLoad(best, inputs);
+  const bool yields = must_queue && service.yields_;
   AdmissionDecision decision;
-  if (in_time && !too_late && !is_full && waiting < kMaxWaitingPerSlot * slots) return decision;
+  if (in_time && !yields && !too_late && !is_full && waiting < kMaxWaitingPerSlot * slots)
+    return decision;
   if (is_full &&
       service.queued_ < MaxQueuedRequests(service, inputs.service_time_, objective_left)) {
     decision.action_ = AdmissionAction::kQueue;
@@ -107,6 +109,12 @@
   return decayed.answered_ / kDecayTime.count();
 }
 
+double RefusedPerSecond(const RecentRequests& recent, Time now) {
+  RecentRequests decayed = recent;
+  Decay(decayed, now);
+  return decayed.refused_ / kDecayTime.count();
+}
+
 Duration JitterRetryDelay(Duration min_delay, const RecentRequests& recent, Random& random) {
   min_delay = std::max(min_delay, kMinRetryDelay);
   const double answered_per_second = std::max(1.0, recent.answered_) / kDecayTime.count();
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -370,7 +370,10 @@
   state_.metrics_.CountRequest(service_, outcome, NameOf(kEndReasonNames, reason));
   state_.metrics_.ObserveDurations(service_, total, waiting, time_at_target_);
   if (reason == EndReason::kAnswered) RecordAnswered(Service().recent_requests_, now);
-  if (reason == EndReason::kOverloaded) RecordRefused(Service().recent_requests_, now);
+  if (reason == EndReason::kOverloaded) {
+    RecordRefused(Service().recent_requests_, now);
+    RecordRefused(Service().recent_by_priority_[priority_], now);
+  }
   LogFinished(status, reason, waiting, total, now);
   owner_.OnCallFinished(*this);
 }
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -93,7 +93,9 @@
   void EndWithoutTarget(Time now);
   void EndOverloaded(const AdmissionDecision& decision, Time now);
   void SearchSoon(const TargetPtr& freed, Time now) override;
-  // Searches again if this is the oldest waiting request of its service.
+  WaitingRequest DescribeWaiting(Time now) const override;
+  void GiveUpPlace(Time now) override;
+  // Searches again if this is the next waiting request of its service.
   void OnWaitEnded(Time now);
   // Lets the request wait for a target below its efficient load, then searches again.
   void WaitForTarget(Time now);
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -85,6 +85,7 @@
     if (load.queued_ < MaxQueuedRequests(load, inputs.service_time_, inputs.objective_left_)) {
       return WaitForTarget(now);
     }
+    if (MakeRoomInQueue(Service(), DescribeWaiting(now), now)) return WaitForTarget(now);
     return EndOverloaded({AdmissionAction::kReject, inputs.service_time_}, now);
   }
   StartSearch(now);
@@ -115,8 +116,18 @@
   SetTimer();
 }
 
+WaitingRequest Call::DescribeWaiting(Time now) const {
+  const ServiceState& service = state_.services_.at(service_);
+  return {priority_, RecentTeamUse(service.team_use_, team_, now), request_.received_};
+}
+
+void Call::GiveUpPlace(Time now) {
+  EndOverloaded({AdmissionAction::kReject, MakePlacementInputs(now).service_time_}, now);
+}
+
 void Call::OnWaitEnded(Time now) {
-  if (Service().queued_requests_.front() == this) {
+  const IQueuedRequest* const self = this;
+  if (NextQueuedRequest(Service(), now) == self) {
     waiting_ = false;
     return StartSearch(now);
   }
@@ -218,6 +229,13 @@
   PlacementInputs inputs = MakePlacementInputs(now);
   inputs.leaves_last_slot_ =
       !TakesLastSlot(Service().recent_requests_, queued_, now, state_.random_);
+  ServiceLoad load = CurrentServiceLoad(now);
+  const double refused = RefusedMoreUrgent(Service(), priority_, now);
+  if (refused > 0) {
+    load.yields_ =
+        YieldsToUrgent(refused, std::uniform_real_distribution<double>(0, 1)(state_.random_));
+  }
+  inputs.leaves_last_slot_ = inputs.leaves_last_slot_ || load.yields_;
   while (true) {
     const auto chosen = ChooseTarget(candidates, inputs);
     const auto best = std::find_if(candidates.begin(), candidates.end(), [&](const auto& item) {
@@ -232,9 +250,8 @@
     if (!found) return EndWithoutTarget(now);
     chosen_target_load_ = FormatLoad(best->load_);
     expected_response_time_ = ExpectedResponseTime(*best, inputs);
-    const AdmissionDecision decision =
-        DecideAdmission(*best, inputs, expected_response_time_, deadline_ - now, ObjectiveLeft(now),
-                        CurrentServiceLoad(now));
+    const AdmissionDecision decision = DecideAdmission(*best, inputs, expected_response_time_,
+                                                       deadline_ - now, ObjectiveLeft(now), load);
     if (decision.action_ == AdmissionAction::kQueue && attempts_.empty()) return WaitForTarget(now);
     if (decision.action_ != AdmissionAction::kSend) return EndOverloaded(decision, now);
     // A hedged request is sent only if the target is likely to respond quickly.
@@ -278,6 +295,7 @@
   if (std::exchange(queued_, false)) {
     IQueuedRequest* const self = this;
     std::erase(Service().queued_requests_, self);
+    ++Service().queue_turn_;
     WakeQueuedRequest(Service(), nullptr, Now());
   }
   ReleaseProbes();
@@ -328,6 +346,7 @@
   if (first_sent_at_ == Time{}) first_sent_at_ = now;
   if (IsCold(target->cold_, now)) state_.metrics_.CountColdSend(service_);
   RecordSend(state_, *target, now);
+  if (!team_.empty()) RecordTeamUse(Service().team_use_, team_, now);
   EndSelection();
   auto attempt =
       std::make_shared<Attempt>(*this, target, std::move(connection), now, slowness, nearly_full);
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -176,8 +176,42 @@
   }
 }
 
+namespace {
+
+std::vector<WaitingRequest> DescribeQueue(const ServiceState& service, Time now) {
+  std::vector<WaitingRequest> queue;
+  queue.reserve(service.queued_requests_.size());
+  for (const IQueuedRequest* request : service.queued_requests_) {
+    queue.push_back(request->DescribeWaiting(now));
+  }
+  return queue;
+}
+
+}  // namespace
+
+IQueuedRequest* NextQueuedRequest(const ServiceState& service, Time now) {
+  const auto next = SelectNext(DescribeQueue(service, now), service.queue_turn_);
+  return next ? service.queued_requests_[*next] : nullptr;
+}
+
+bool MakeRoomInQueue(ServiceState& service, const WaitingRequest& arriving, Time now) {
+  const auto victim = SelectVictim(DescribeQueue(service, now), arriving);
+  if (!victim) return false;
+  service.queued_requests_[*victim]->GiveUpPlace(now);
+  return true;
+}
+
+double RefusedMoreUrgent(const ServiceState& service, int priority, Time now) {
+  double refused = 0;
+  for (const auto& [other, recent] : service.recent_by_priority_) {
+    if (other < priority) refused += RefusedPerSecond(recent, now);
+  }
+  return refused;
+}
+
 void WakeQueuedRequest(ServiceState& service, const TargetPtr& freed, Time now) {
-  if (!service.queued_requests_.empty()) service.queued_requests_.front()->SearchSoon(freed, now);
+  IQueuedRequest* const next = NextQueuedRequest(service, now);
+  if (next != nullptr) next->SearchSoon(freed, now);
 }
 
 std::uint64_t MaxPreferredAffinity(std::vector<std::uint64_t> affinities) {
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <array>
-#include <deque>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,6 +13,7 @@
 #include "base/address.h"
 #include "gateway/admission.h"
 #include "gateway/concurrency.h"
+#include "gateway/fair_queue.h"
 #include "gateway/gateway_types.h"
 #include "gateway/icall_format.h"
 #include "gateway/internal/gateway_metrics.h"
@@ -60,14 +61,20 @@
   // Lets the request look for a target soon. `freed`, if not null, is a target from which this host
   // has just received a response.
   virtual void SearchSoon(const TargetPtr& freed, Time now) = 0;
+  virtual WaitingRequest DescribeWaiting(Time now) const = 0;
+  // Rejects the request, whose place in the queue goes to a more urgent one.
+  virtual void GiveUpPlace(Time now) = 0;
 };
 
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
   RecentRequests recent_requests_;
-  // Requests that wait for a target below its efficient load, the oldest first.
-  std::deque<IQueuedRequest*> queued_requests_;
+  // Requests that wait for a target below its efficient load; see NextQueuedRequest.
+  std::vector<IQueuedRequest*> queued_requests_;
+  std::uint64_t queue_turn_ = 0;  // Requests that have left the queue.
+  TeamUse team_use_;
+  std::map<int, RecentRequests> recent_by_priority_;
   std::array<ServiceTimeEstimate, kRequestKindNames.size()> service_times_;  // By RequestKind.
 };
 
@@ -127,7 +134,15 @@
 // Updates the in-flight count and the rate limit of the target for one more request.
 void RecordSend(GatewayState& state, TargetState& target, Time now);
 
-// Lets the oldest request that waits for a target of the service look for one soon. `freed` may be
+// Returns the waiting request that is served next, or null.
+IQueuedRequest* NextQueuedRequest(const ServiceState& service, Time now);
+// Rejects the waiting request that is served last, if `arriving` is served before it. Returns
+// whether there is room for `arriving`.
+bool MakeRoomInQueue(ServiceState& service, const WaitingRequest& arriving, Time now);
+// Returns the refusals of more urgent requests of the service by this host in the last second.
+double RefusedMoreUrgent(const ServiceState& service, int priority, Time now);
+
+// Lets the next request that waits for a target of the service look for one soon. `freed` may be
 // null; see IQueuedRequest.
 void WakeQueuedRequest(ServiceState& service, const TargetPtr& freed, Time now);
 
