gateway: second requests within a limit of the operator

Cause: a second request was sent after 1.4 to 3 times the expected time, limited by the retry budget only, and a slow machine that was known when the first one was sent delayed it further. Without the option nothing changes.

--- a/src/app/internal/command.cc
+++ b/src/app/internal/command.cc
@@ -15,7 +15,7 @@
 
 constexpr auto kCommands = std::to_array<Command>({
     {"run", "SETTINGS", "run an entry host", RunCommand, nullptr},
-    {"serve", "[--metrics-port PORT] [--log-level LEVEL] [--check]",
+    {"serve", "[--metrics-port PORT] [--log-level LEVEL] [--max-hedge-share SHARE] [--check]",
      "run an entry host with the settings file of the users' platform", ServeCommand, ServeOptions},
     {"check-settings", "SETTINGS", "validate a settings file", CheckSettingsCommand, nullptr},
     {"records", "validate FILE...", "check record files", RecordsCommand, RecordsOptions},
--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "app/internal/command.h"
@@ -36,6 +37,7 @@
   std::string settings_path_;
   std::string settings_text_;
   int metrics_port_ = 0;
+  std::optional<double> max_hedge_share_;
   platform::CallFormat call_format_;
   platform::RecordFormat record_format_;
   std::unique_ptr<platform::ObjectStore> store_;
@@ -54,6 +56,7 @@
       settings.metrics_address_ = FormatAddress(metrics);
     }
   }
+  settings.max_hedge_share_ = host.max_hedge_share_;
   return settings;
 }
 
@@ -116,6 +119,14 @@
     return Fail(ResultCode::kUsage,
                 "--log-level is \"" + level_name + "\", allowed: debug, info, warning or error");
   }
+  if (values.count("max-hedge-share") > 0) {
+    host.max_hedge_share_ = values["max-hedge-share"].as<double>();
+    if (!(*host.max_hedge_share_ >= 0 && *host.max_hedge_share_ <= 1)) {
+      return Fail(
+          ResultCode::kUsage,
+          "--max-hedge-share is " + std::to_string(*host.max_hedge_share_) + ", allowed: 0 to 1");
+    }
+  }
   BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
   BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
   BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
@@ -159,6 +170,9 @@
       "port of the metrics endpoint on the host's address; 0: as in the settings")(
       "log-level", options::value<std::string>()->default_value("info"),
       "minimum log level: debug, info, warning or error; info includes served requests")(
+      "max-hedge-share", options::value<double>(),
+      "share of the requests of a service that may be sent to a second target while the first one "
+      "is slow, 0 to 1; without it only the retry budget limits them")(
       "check", options::bool_switch(), "validate the settings file and exit");
   return description;
 }
--- a/src/app/tests/commands_test.cc
+++ b/src/app/tests/commands_test.cc
@@ -47,6 +47,7 @@
       if (command.name_ != "serve") continue;
       CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitUsage), command.run_({"--log-level", "loud"}));
       CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitUsage), command.run_({"--metrics-port", "70000"}));
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitUsage), command.run_({"--max-hedge-share", "2"}));
     }
   }
 };
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -162,6 +162,9 @@
   // Once the deadline of its request has passed, a streamed response is ended after this time
   // without progress.
   Duration stream_stall_timeout_ = std::chrono::seconds(30);
+  // Requests of a service that may be sent to a second target while the first one is slow, as a
+  // share of its requests that may be repeated. Empty: only the retry budget limits them.
+  std::optional<double> max_hedge_share_;
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -72,6 +72,9 @@
   if (IsIdempotent(route_->kind_)) exchange_->AllowOverlap();
   service_ = SelectService(state_.traffic_split_, *route_);
   CreditRetryBudget(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_, now);
+  if (state_.settings_.max_hedge_share_ && IsIdempotent(route_->kind_)) {
+    EarnHedge(Service().hedge_budget_, *state_.settings_.max_hedge_share_);
+  }
   StartSelection(SendPurpose::kFirst, now);
 }
 
@@ -137,10 +140,7 @@
       EvaluateRound(now);
     }
   } else if (now >= hedge_at_) {
-    hedge_at_ = Time::max();
-    if (!selecting_ && !streaming_ && attempts_.size() == 1 && CanRetry(now)) {
-      StartSelection(SendPurpose::kHedge, now);
-    }
+    OnHedgeDue(now);
   }
   if (!is_finished_) SetTimer();
 }
@@ -220,6 +220,7 @@
   const int status = attempt.head_.status_;
   if (attempt.streamed_) {
     RecordSuccess(attempt.target_->health_, now);
+    RecordHedgeResult(attempt, now);
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
     CancelAttempts();
@@ -230,6 +231,7 @@
   if (attempt.IsForwardable()) {
     RecordSuccess(attempt.target_->health_, now);
     RecordInTime(state_.route_timeout_stats_[route_->name_]);
+    RecordHedgeResult(attempt, now);
     UpdateServiceTime(Service().service_times_[static_cast<std::size_t>(route_->kind_)], duration,
                       attempt.slowness_, attempt.nearly_full_);
     state_.metrics_.CountSend(service_, "answered");
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -111,6 +111,12 @@
   TargetCredentials CredentialsForTarget() const;
   Duration ObjectiveLeft(Time now) const;
   bool CanRetry(Time now);
+  // Plans the second request, if the first one may have one.
+  void PlanHedge(Duration expected, Time now);
+  // Looks for a second target, or plans to check again.
+  void OnHedgeDue(Time now);
+  // Records the response time, and whether a second request was the faster one.
+  void RecordHedgeResult(const Attempt& answered, Time now);
 
   void OnTimer();
   void SetTimer();
@@ -177,6 +183,8 @@
   int possibly_executed_sends_ = 0;  // Sends that the target did not report as not executed.
   Time first_sent_at_{};
   Time hedge_at_ = Time::max();
+  HedgeDecision withheld_hedge_ = HedgeDecision::kSend;  // The last one that was counted.
+  bool is_hedged_ = false;  // A second request was sent while the first one was in progress.
   Duration time_at_target_{};
   std::string last_result_;
   std::string chosen_target_load_;  // Load of the last target when it was chosen.
--- a/src/gateway/internal/call_attempt.h
+++ b/src/gateway/internal/call_attempt.h
@@ -44,6 +44,7 @@
   Time sent_at_;
   double slowness_;
   bool nearly_full_;  // The target, with this request.
+  bool is_hedge_ = false;
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -351,11 +351,13 @@
   auto attempt =
       std::make_shared<Attempt>(*this, target, std::move(connection), now, slowness, nearly_full);
   attempts_.push_back(attempt);
-  hedge_at_ = Time::max();
-  if (IsIdempotent(route_->kind_) && send_count_ < route_->max_attempts_ && attempts_.size() == 1) {
-    hedge_at_ =
-        now + HedgeDelay(MakePlacementInputs(now).service_time_, expected, ObjectiveLeft(now));
+  attempt->is_hedge_ = purpose_ == SendPurpose::kHedge;
+  if (attempt->is_hedge_) {
+    is_hedged_ = true;
+    ConsumeHedge(Service().hedge_budget_);
+    state_.metrics_.CountHedge(service_, "sent");
   }
+  PlanHedge(expected, now);
   attempt->Send(deadline_ - now);
   SetTimer();
   return true;
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -33,6 +33,8 @@
         retries_(Counter("monsoonshelf_gateway_repeats_total", "Repeated sends", labels)),
         cold_sends_(
             Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
+        hedges_(Counter("monsoonshelf_gateway_hedges_total",
+                        "Second requests by result, or by the reason to withhold them", labels)),
         probes_(Counter("monsoonshelf_gateway_probes_total", "Health requests by result", labels)),
         store_calls_(
             Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
@@ -73,6 +75,7 @@
   CounterFamily& sends_;
   CounterFamily& retries_;
   CounterFamily& cold_sends_;
+  CounterFamily& hedges_;
   CounterFamily& probes_;
   CounterFamily& store_calls_;
   CounterFamily& directory_queries_;
@@ -127,6 +130,11 @@
   families_->cold_sends_.Add({{"service", ToString(service)}}).Increment();
 }
 
+void GatewayMetrics::CountHedge(std::string_view service, std::string_view result) {
+  families_->hedges_.Add({{"service", ToString(service)}, {"result", ToString(result)}})
+      .Increment();
+}
+
 void GatewayMetrics::CountProbe(std::string_view result) {
   families_->probes_.Add({{"result", ToString(result)}}).Increment();
 }
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -15,6 +15,7 @@
 #include "gateway/concurrency.h"
 #include "gateway/fair_queue.h"
 #include "gateway/gateway_types.h"
+#include "gateway/hedging.h"
 #include "gateway/icall_format.h"
 #include "gateway/internal/gateway_metrics.h"
 #include "gateway/limits.h"
@@ -69,6 +70,8 @@
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
+  HedgeBudget hedge_budget_;
+  std::array<ResponseTimes, kRequestKindNames.size()> response_times_;  // By RequestKind.
   RecentRequests recent_requests_;
   // Requests that wait for a target below its efficient load; see NextQueuedRequest.
   std::vector<IQueuedRequest*> queued_requests_;
