http: responses that are no HTTP, and resets during a request, end as failures

The parser library accepts any three digits as a status, joins folded lines, and reads messages with an unknown transfer coding until the connection ends. Change: an orderly end needs that no error was seen before in either direction, and that the whole request was sent if the response has no length. Status outside of 100 to 599, field names that are no tokens, control characters, folded lines, transfer codings other than one chunked, and 101 are malformed, for requests (400) and responses. A fuzz target reads responses in one, two and three parts.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -159,8 +159,10 @@
   int capacity_ = 0;
   bool is_bootstrap_ = false;  // First start of the fleet: no host is registered.
   std::int64_t memory_bytes_ = std::int64_t{256} << 20;
-  // Once the deadline of its request has passed, a streamed response is ended after this time
-  // without progress.
+  // Once the deadline of its request has passed, a streamed response is ended after this time in
+  // which its target sent nothing. Covers the repetition of a lost packet.
+  Duration target_stall_timeout_ = std::chrono::milliseconds(400);
+  // The same for a caller that does not read.
   Duration stream_stall_timeout_ = std::chrono::seconds(30);
   // Requests of a service that may be sent to a second target while the first one is slow, as a
   // share of its requests that may be repeated. Empty: only the retry budget limits them.
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -55,7 +55,7 @@
   route_ = FindRoute(configuration_->configuration_, configuration_->routes_,
                      host != nullptr ? *host : "", request_.head_.target_);
   if (route_ == nullptr) return RespondWithError(404, EndReason::kNoRoute, Duration(0), now);
-  const Access access = CheckKey(now);
+  const KeyAccess access = CheckKey(now);
   if (access.decision_ != AccessDecision::kAllowed) return EndUnauthorized(access.decision_, now);
   priority_ = route_->priority_;
   if (access.team_ != nullptr) {
@@ -78,7 +78,7 @@
   StartSelection(SendPurpose::kFirst, now);
 }
 
-Access Call::CheckKey(Time now) const {
+KeyAccess Call::CheckKey(Time now) const {
   const auto& teams = state_.configuration_->configuration_.teams_;
   if (!teams) return {AccessDecision::kAllowed, nullptr};
   return CheckAccess(*teams, info_.credential_, route_->allows_anonymous_,
@@ -178,17 +178,22 @@
     CancelAttempts();
     return BreakOffResponse(EndReason::kTimedOut, now);
   }
+  const bool reads_target = has_turn ? exchange_->UnsentBytes() == 0 : !attempt.paused_;
+  if (reads_target) {
+    const Time stalls_at = attempt.last_progress_at_ + state_.settings_.target_stall_timeout_;
+    if (now < stalls_at) {
+      deadline_ = stalls_at;
+      return SetTimer();
+    }
+    attempt.connection_->Cancel();
+    return OnAttemptFailed(attempt, "stalled");
+  }
   const auto position = std::make_pair(attempt.received_bytes_, exchange_->UnsentBytes());
   if (position != last_stream_position_) {
     last_stream_position_ = position;
     deadline_ = now + state_.settings_.stream_stall_timeout_;
     return SetTimer();
   }
-  const bool reads_target = has_turn ? exchange_->UnsentBytes() == 0 : !attempt.paused_;
-  if (reads_target) {
-    attempt.connection_->Cancel();
-    return OnAttemptFailed(attempt, "stalled");
-  }
   if (!has_turn) {
     // The response waits for the ones before it, not for its target.
     deadline_ = now + state_.settings_.stream_stall_timeout_;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -105,7 +105,7 @@
   void EndSelection();
   bool SendToTarget(Probe& probe, Duration expected, Time now);
   // Checks the key against the latest configuration. Without teams every request is allowed.
-  Access CheckKey(Time now) const;
+  KeyAccess CheckKey(Time now) const;
   // Ends the request, or the search for a further target, because its key is not accepted.
   void EndUnauthorized(AccessDecision decision, Time now);
   TargetCredentials CredentialsForTarget() const;
--- a/src/gateway/internal/call_attempt.cc
+++ b/src/gateway/internal/call_attempt.cc
@@ -42,6 +42,7 @@
 }
 
 void Call::Attempt::PauseReading(bool paused) {
+  if (paused_ && !paused) last_progress_at_ = Now();
   paused_ = paused;
   connection_->PauseReading(paused);
 }
@@ -74,6 +75,7 @@
 
 void Call::Attempt::OnBody(std::string& body) {
   received_bytes_ += body.size();
+  last_progress_at_ = Now();
   if (call_.exchange_ == nullptr) {
     // The caller has left, and the request goes on only because it is not idempotent.
     body_ = {};
--- a/src/gateway/internal/call_attempt.h
+++ b/src/gateway/internal/call_attempt.h
@@ -49,6 +49,8 @@
   TargetResponseInfo response_;
   std::string body_;
   std::uint64_t received_bytes_ = 0;  // Of the body.
+  // When the last byte of the body arrived, or reading began again after a pause.
+  Time last_progress_at_{};
   // When the attempt fails although its response is not complete, because it is not usable.
   Time give_up_at_ = Time::max();
   bool complete_ = false;
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -260,7 +260,7 @@
       return SetTimer();
     }
     // The key may have been withdrawn while the request waited, or since its last send.
-    const Access access = CheckKey(now);
+    const KeyAccess access = CheckKey(now);
     if (access.decision_ != AccessDecision::kAllowed) return EndUnauthorized(access.decision_, now);
     team_ = access.team_ == nullptr ? std::string() : access.team_->name_;
     if (SendToTarget(*probes_[best->index_], expected_response_time_, now)) return;
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -32,6 +32,9 @@
 // The same while the host waits for its last calls and connections, so that it ends soon after
 // them.
 constexpr Duration kDrainTickInterval = std::chrono::milliseconds(50);
+// Time from the first list of hosts until those of the zone have answered a ping: two ticks, as the
+// hosts may have started at the same time.
+constexpr Duration kPeerDiscoveryTime = std::chrono::milliseconds(500);
 // Ticks between two updates of the metrics gauges.
 constexpr int kTicksPerMetricsUpdate = 8;
 // Share of the stop time during which requests are still accepted. In this phase most callers learn
@@ -329,6 +332,12 @@
       state_.zone_hosts_.push_back(peer->record_.name_);
     }
     state_.fleet_size_ = std::max(store_sync_.KnownHostCount(), peers_.peers_.size() + 1);
+    if (zone_hosts_listed_at_ == Time{} && store_sync_.KnownHostCount() > 0) {
+      zone_hosts_listed_at_ = now;
+    }
+    state_.knows_zone_hosts_ =
+        zone_hosts_listed_at_ != Time{} &&
+        (peers_.peers_.empty() || now - zone_hosts_listed_at_ >= kPeerDiscoveryTime);
   }
 
   void UpdateGauges(Time now) {
@@ -509,6 +518,7 @@
   StoreSync store_sync_;
   eventloop::Timer tick_timer_;
   int tick_count_ = 0;
+  Time zone_hosts_listed_at_{};
   lifecycle::LifecycleMachine machine_;
   LifecycleState lifecycle_state_ = LifecycleState::kStarting;
   Time stop_started_{};
--- a/src/gateway/internal/gateway_state.cc
+++ b/src/gateway/internal/gateway_state.cc
@@ -158,7 +158,7 @@
   if (!WantsRequests(target.notices_, now)) return false;
   if (state.evacuated_zones_.contains(target.record_.zone_)) return false;
   if (!IsCold(target.cold_, now)) return true;
-  return target.record_.zone_ == state.settings_.zone_ &&
+  return state.knows_zone_hosts_ && target.record_.zone_ == state.settings_.zone_ &&
          ColdTargetOwner(target.record_.id_, state.zone_hosts_) == state.settings_.name_;
 }
 
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -99,6 +99,9 @@
   TrafficSplit traffic_split_;
   std::unordered_map<std::string, RouteTimeoutStats> route_timeout_stats_;  // By route name.
   std::vector<HostName> zone_hosts_;  // Serving hosts of the own zone, including this host.
+  // The hosts of the zone were listed, and had time to answer a ping. Before, this host would take
+  // itself for the only one that may send to cold targets.
+  bool knows_zone_hosts_ = false;
   std::size_t fleet_size_ = 1;
   bool has_target_list_ = false;  // The first target list was received.
   bool stopping_ = false;         // New requests are rejected.
--- a/src/gateway/internal/teams.cc
+++ b/src/gateway/internal/teams.cc
@@ -77,7 +77,7 @@
   return &teams_[found->team_];
 }
 
-Access CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
+KeyAccess CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
                    bool is_proven) {
   if (credential.kind_ == Credential::Kind::kNone && allows_anonymous) {
     return {AccessDecision::kAllowed, nullptr};
--- a/src/gateway/teams.h
+++ b/src/gateway/teams.h
@@ -73,7 +73,7 @@
   kUnproven,      // This host cannot rule out that the key was withdrawn. Respond 503.
 };
 
-struct Access {
+struct KeyAccess {
   AccessDecision decision_ = AccessDecision::kUnauthorized;
   const Team* team_ = nullptr;  // Null if the request is anonymous or not allowed.
 };
@@ -81,7 +81,7 @@
 // Decides whether a request may run. `is_proven` tells whether the configuration that `teams`
 // belongs to was in force recently enough; see IsProofFresh. A request with an unknown key is
 // rejected on an anonymous route too.
-Access CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
+KeyAccess CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
                    bool is_proven);
 
 // Returns whether the configuration of this host proves that a key was not withdrawn longer than
--- a/src/gateway/tests/faulty_response_test.cc
+++ b/src/gateway/tests/faulty_response_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(RejectionWithoutIdentifierRejectsNoRequest);
   CPPUNIT_TEST(ResponseToAProbeDoesNotRejectARequest);
   CPPUNIT_TEST(ResponseThatEndsInItsHeadIsNotForwarded);
+  CPPUNIT_TEST(MalformedResponsesAreNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -50,6 +51,27 @@
     target_ = nullptr;
   }
 
+  // Guards against bytes that are no HTTP response and reach the caller as one: a status of 000, a
+  // field whose name holds a blank or a control byte, a body in an unknown coding.
+  void MalformedResponsesAreNotForwarded() {
+    Start();
+    for (const std::string start :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 700 OK\r\n",
+          "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n",
+          "HTTP/1.1 200 OK\r\nX: 1\r\n folded\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"}) {
+      target_->on_request_ = [&](Connection& connection) {
+        connection.Write(start + "Id: " + target_->last_id_ + "\r\nSigned: yes\r\n" +
+                         (start.find("gzip") == std::string::npos ? "Content-Length: 2\r\n" : "") +
+                         "\r\nok");
+        connection.Close();
+      };
+      const Response response = host_->Call("/once/x", "body");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(start, 502, response.status_);
+      CPPUNIT_ASSERT(response.body_ != "ok");
+    }
+  }
+
   // Guards against responding 503, which promises that a request was not executed, to a request
   // that the target executes, because of a rejection that belongs to an earlier one.
   void RepeatedRejectionOnAnIdleConnectionRejectsNoOtherRequest() {
--- a/src/gateway/tests/gateway_test.cc
+++ b/src/gateway/tests/gateway_test.cc
@@ -349,6 +349,13 @@
     StartServing();
     targets_[0]->cold_time_ms_ = 60'000;
     targets_[1]->reported_running_ = 2;  // The cold target would respond sooner.
+    // A host that does not know the other hosts of its zone sends nothing to a cold target.
+    CPPUNIT_ASSERT_EQUAL(200, Call("/safe/x").status_);
+    CPPUNIT_ASSERT_EQUAL(0, targets_[0]->requests_received_);
+    CPPUNIT_ASSERT(loop_->RunUntil([this] {
+      CPPUNIT_ASSERT_EQUAL(200, Call("/safe/x").status_);
+      return targets_[0]->requests_received_ > 0;
+    }));
     for (int i = 0; i < 10; ++i) CPPUNIT_ASSERT_EQUAL(200, Call("/safe/x").status_);
     // At most one request per second, the rate of the service.
     CPPUNIT_ASSERT(targets_[0]->requests_received_ >= 1 && targets_[0]->requests_received_ <= 2);
--- a/src/gateway/tests/records_test.cc
+++ b/src/gateway/tests/records_test.cc
@@ -110,7 +110,8 @@
   Loop loop_;
   RecordCaches caches_;
   RecordCaches follower_caches_;
-  RecordServer server_{caches_, [] { return Duration(milliseconds(40)); }};
+  RecordServer server_{caches_, [] { return Duration(milliseconds(40)); },
+                       [] { return std::optional<Duration>(milliseconds(70)); }};
   RecordHandler handler_{server_};
   http::ServerConnections connections_{handler_};
   std::unique_ptr<http::Listener> listener_ =
@@ -370,7 +371,9 @@
     Loop loop;
     RecordCaches caches;
     ReplaceRecords(caches[RecordKind::kEvacuation], {}, 7);
-    RecordServer server(caches, [] { return Duration(milliseconds(40)); });
+    RecordServer server(
+        caches, [] { return Duration(milliseconds(40)); },
+        [] { return std::optional<Duration>(milliseconds(70)); });
     RecordHandler handler(server);
     http::ServerConnections connections(handler);
     auto listener = http::Listener::Open("127.0.0.1:0",
@@ -438,7 +441,9 @@
     Loop loop;
     RecordCaches caches;
     ReplaceRecords(caches[RecordKind::kEvacuation], {}, 7);
-    RecordServer server(caches, [] { return Duration(milliseconds(40)); });
+    RecordServer server(
+        caches, [] { return Duration(milliseconds(40)); },
+        [] { return std::optional<Duration>(milliseconds(70)); });
     RecordHandler handler(server, kDelay);
     http::ServerConnections connections(handler);
     auto listener = http::Listener::Open("127.0.0.1:0",
@@ -452,6 +457,8 @@
                   [&](const StoreEvents& result) { events = result; });
       CPPUNIT_ASSERT(loop.RunUntil([&] { return events.has_value(); }));
       CPPUNIT_ASSERT(events->status_ == StoreStatus::kOk);
+      // A proof ages by the same time.
+      CPPUNIT_ASSERT(*events->proof_age_ == events->age_ + milliseconds(30));
       return events->age_;
     };
     CPPUNIT_ASSERT(watch(milliseconds(0)) >= kDelay + milliseconds(40));
--- a/src/gateway/tests/streamed_response_test.cc
+++ b/src/gateway/tests/streamed_response_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(TargetThatBreaksOffLeavesAnIncompleteResponse);
   CPPUNIT_TEST(SilenceDoesNotEndAStreamedResponseAtItsTimeout);
   CPPUNIT_TEST(SilenceAfterTheTimeoutEndsAStreamedResponse);
+  CPPUNIT_TEST(SilenceBeforeTheTimeoutEndsAStreamedResponse);
   CPPUNIT_TEST(CallerThatStopsReadingEndsAStreamedResponse);
   CPPUNIT_TEST(NonIdempotentStreamGoesOnAfterItsCallerHasLeft);
   CPPUNIT_TEST(PausedNonIdempotentStreamGoesOnAfterItsCallerHasLeft);
@@ -185,7 +186,7 @@
 
   // Guards against a request that a silent target keeps open for ever.
   void SilenceAfterTheTimeoutEndsAStreamedResponse() {
-    host_->settings_.stream_stall_timeout_ = milliseconds(1500);
+    host_->settings_.target_stall_timeout_ = milliseconds(1500);
     RestartWithOneTarget();
     RawCaller caller(host_->settings_.front_address_,
                      GatewayHost::FormatRequest("/brief/x", "body"));
@@ -204,6 +205,19 @@
     CPPUNIT_ASSERT(host_->HasMetric("requests_total", "reason=\"target_failed\""));
   }
 
+  // Guards against a response that is kept open after the timeout of the route (700 ms) although
+  // its target fell silent long before: it used to get another 30 s at the first check.
+  void SilenceBeforeTheTimeoutEndsAStreamedResponse() {
+    RestartWithOneTarget();
+    RawCaller caller(host_->settings_.front_address_,
+                     GatewayHost::FormatRequest("/brief/x", "body"));
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([this] { return a_->IsRequestOpen(); }));
+    BeginStream(*a_, 'a');
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] { return caller.closed_; }));
+    CPPUNIT_ASSERT(!caller.received_.ends_with(kLastChunk));
+    CPPUNIT_ASSERT(host_->HasMetric("sends_total", "result=\"stalled\""));
+  }
+
   // Guards against a request that a caller keeps open for ever because it does not read.
   void CallerThatStopsReadingEndsAStreamedResponse() {
     host_->settings_.stream_stall_timeout_ = milliseconds(1500);
@@ -303,9 +317,11 @@
   // Starts a new gateway with the settings of the last one and the target `a` only.
   void RestartWithOneTarget() {
     const Duration stall_timeout = host_->settings_.stream_stall_timeout_;
+    const Duration target_stall_timeout = host_->settings_.target_stall_timeout_;
     tearDown();
     host_ = std::make_unique<GatewayHost>();
     host_->settings_.stream_stall_timeout_ = stall_timeout;
+    host_->settings_.target_stall_timeout_ = target_stall_timeout;
     a_ = std::make_unique<RawTarget>("a");
     host_->AddTarget("a", a_->GetAddress());
     CPPUNIT_ASSERT(host_->Start());
--- a/src/gateway/tests/teams_test.cc
+++ b/src/gateway/tests/teams_test.cc
@@ -63,12 +63,12 @@
     const TeamTable table({MakeTeam("a", {"k1"})});
     const Credential none;
     const Credential invalid = {Credential::Kind::kInvalid, DigestKey("k1")};
-    const Access allowed = CheckAccess(table, KeyCredential("k1"), false, true);
+    const KeyAccess allowed = CheckAccess(table, KeyCredential("k1"), false, true);
     CPPUNIT_ASSERT(allowed.decision_ == AccessDecision::kAllowed);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), allowed.team_->name_);
     for (const bool anonymous : {false, true}) {
       for (const Credential& credential : {KeyCredential("unknown"), invalid}) {
-        const Access access = CheckAccess(table, credential, anonymous, true);
+        const KeyAccess access = CheckAccess(table, credential, anonymous, true);
         CPPUNIT_ASSERT(access.decision_ == AccessDecision::kUnauthorized);
         CPPUNIT_ASSERT(access.team_ == nullptr);
       }
--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -13,6 +13,7 @@
 
 // Responses with a lower status code are interim responses (1xx), which are skipped.
 constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocolsStatus = 101;
 // Used if the response has no Keep-Alive header with a timeout.
 constexpr Duration kDefaultKeepAliveTimeout = std::chrono::seconds(4);
 // An idle connection is not reused within this time before its keep-alive timeout, because the peer
@@ -90,6 +91,8 @@
     if (parser_->HasHead() && !head_delivered_) {
       ResponseHead& head = parser_->Head();
       if (head.status_ < kFirstFinalStatus) {
+        // No request asks for another protocol.
+        if (head.status_ == kSwitchingProtocolsStatus) return Fail(Failure::kMalformed);
         if (!parser_->IsDone()) return;
         interim_bytes_ += response_bytes_;
         if (!SkipResponse(ResponseLimit::kInterim, interim_bytes_, kMaxInterimBytes)) return;
@@ -197,8 +200,11 @@
     stream_.reset();
     return;
   }
-  // An orderly close ends a body without a length; after a reset the body may be truncated.
-  if (failure == Failure::kClosed && head_delivered_ && !discarding_response_) {
+  // An orderly close ends a body without a length; after a reset the body may be truncated. A peer
+  // that closes before it has received the whole request may have died: its kernel ends the
+  // connection in order if the process had read all that had arrived.
+  const bool is_request_sent = stream_->UnsentBytes() == 0;
+  if (failure == Failure::kClosed && is_request_sent && head_delivered_ && !discarding_response_) {
     parser_->FeedEof();
     if (parser_->IsDone()) return FinishExchange();
   }
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -1,5 +1,6 @@
 #include "http/message_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -13,9 +14,41 @@
 namespace bhttp = boost::beast::http;
 using beast::string_view;
 
+// HTTP/1.1, as Beast writes it.
+constexpr int kFirstChunkedVersion = 11;
 // Every supported status line begins with this.
 constexpr std::string_view kStatusLinePrefix = "HTTP/1.";
 
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
+// Returns whether the text is a token of RFC 9110, as the name of a field has to be.
+bool IsToken(string_view text) {
+  constexpr std::string_view kSpecialCharacters = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) {
+    const bool is_alphanumeric = (character >= 'a' && character <= 'z') ||
+                                 (character >= 'A' && character <= 'Z') ||
+                                 (character >= '0' && character <= '9');
+    return is_alphanumeric || kSpecialCharacters.find(character) != std::string_view::npos;
+  });
+}
+
+// Returns whether the text has no control character except tabs.
+bool IsFieldValue(string_view text) {
+  return std::none_of(text.begin(), text.end(), [](unsigned char byte) {
+    return (byte < 0x20 && byte != '\t') || byte == 0x7f;
+  });
+}
+
+// Returns whether a line of the header continues the one before it. Beast joins such lines, but
+// other programs that read the message may not.
+bool HasFoldedLine(std::string_view header) {
+  const std::size_t end = header.find("\r\n\r\n");
+  header = header.substr(0, end);
+  return header.find("\r\n ") != std::string_view::npos ||
+         header.find("\r\n\t") != std::string_view::npos;
+}
+
 std::string ToString(string_view text) { return {text.data(), text.size()}; }
 
 // Beast parser that stores the start line, headers and body of a message. Serves requests and
@@ -27,11 +60,17 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !this->is_done() && error_ == ParseError::kNone) {
       beast::error_code code;
+      const bool had_header = this->is_header_done();
+      const std::string_view rest = bytes.substr(consumed);
       const std::size_t count = this->put(
           boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
       consumed += count;
       if (code == bhttp::error::need_more) break;
       if (code) SetError(code);
+      // The fields of a header are parsed at once, when all of them have arrived.
+      if (!had_header && this->is_header_done() && HasFoldedLine(rest)) {
+        error_ = ParseError::kMalformed;
+      }
       if (count == 0) break;
     }
     // Beast limits the header, but neither chunk headers nor trailers, which it leaves unparsed
@@ -58,26 +97,48 @@
   std::string method_;
   std::string target_;
   int status_ = 0;
+  int version_ = 0;  // 10 or 11.
   std::string body_;
 
  protected:
-  void on_request_impl(bhttp::verb /*method*/, string_view method, string_view target,
-                       int /*version*/, beast::error_code& code) override {
+  void on_request_impl(bhttp::verb /*method*/, string_view method, string_view target, int version,
+                       beast::error_code& code) override {
     code = {};
+    version_ = version;
     method_ = ToString(method);
     target_ = ToString(target);
   }
-  void on_response_impl(int status, string_view /*reason*/, int /*version*/,
+  void on_response_impl(int status, string_view /*reason*/, int version,
                         beast::error_code& code) override {
     code = {};
+    version_ = version;
     status_ = status;
+    if (status < kMinStatus || status > kMaxStatus) code = bhttp::error::bad_status;
   }
   void on_field_impl(bhttp::field /*field*/, string_view name, string_view value,
                      beast::error_code& code) override {
     code = {};
-    headers_.emplace_back(ToString(name), ToString(value));
+    if (!IsToken(name)) {
+      code = bhttp::error::bad_field;
+    } else if (!IsFieldValue(value)) {
+      code = bhttp::error::bad_value;
+    } else if (!this->is_header_done()) {
+      headers_.emplace_back(ToString(name), ToString(value));
+    }
+  }
+  // Beast lets messages with an unknown transfer coding through, as if their bodies ended with the
+  // connection.
+  void on_header_impl(beast::error_code& code) override {
+    code = {};
+    bool has_coding = false;
+    for (const auto& [name, value] : headers_) {
+      if (!EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
+      if (has_coding || !EqualsIgnoreCase(value, "chunked") || version_ < kFirstChunkedVersion) {
+        code = bhttp::error::bad_transfer_encoding;
+      }
+      has_coding = true;
+    }
   }
-  void on_header_impl(beast::error_code& code) override { code = {}; }
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                          beast::error_code& code) override {
     code = {};
--- a/src/http/internal/stream.cc
+++ b/src/http/internal/stream.cc
@@ -162,7 +162,9 @@
       continue;
     }
     if (count == 0) {
-      failure = Failure::kClosed;
+      // send() takes the error of a reset connection from the socket, and recv() then reports an
+      // orderly end.
+      failure = send_failed_ ? Failure::kReset : Failure::kClosed;
     } else if (errno != EAGAIN && errno != EINTR) {
       failure = Failure::kReset;
     }
@@ -202,6 +204,7 @@
         output_.clear();
         output_begin_ = 0;
         write_closed_ = true;
+        send_failed_ = true;
       }
       break;
     }
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -23,8 +23,8 @@
   virtual void OnDataReceived() = 0;
   // Called when all buffered output has been passed to the kernel.
   virtual void OnOutputFlushed() = 0;
-  // Called once when the connection failed or the peer closed it (kClosed). No further calls
-  // follow.
+  // Called once when the connection failed (kReset), or when the peer closed it and no error
+  // occurred before in either direction (kClosed). No further calls follow.
   virtual void OnClosed(Failure failure) = 0;
 };
 
@@ -94,6 +94,7 @@
   bool reading_paused_ = false;
   bool shutdown_requested_ = false;
   bool write_closed_ = false;
+  bool send_failed_ = false;
   bool closed_ = false;
   int connect_error_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/http/tests/connection_test.cc
+++ b/src/http/tests/connection_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <string>
 
 #include "base/clock.h"
@@ -91,6 +92,9 @@
   CPPUNIT_TEST(SkipsResponsesToOtherRequests);
   CPPUNIT_TEST(ExtraBytesAfterResponseCloseConnection);
   CPPUNIT_TEST(CloseDelimitedResponseNeedsOrderlyClose);
+  CPPUNIT_TEST(ResetDuringTheRequestIsNotTheEndOfAResponse);
+  CPPUNIT_TEST(ResponseWithoutLengthNeedsTheWholeRequest);
+  CPPUNIT_TEST(SwitchOfProtocolsIsNoResponse);
   CPPUNIT_TEST(ResetAfterSendReportsBytesSent);
   CPPUNIT_TEST(RefusedConnectionReportsNothingSent);
   CPPUNIT_TEST(ResponseBeforeEndOfRequestClosesConnection);
@@ -185,6 +189,64 @@
     }
   }
 
+  // Guards against a reset that send() takes from the socket, after which recv() reports an orderly
+  // end: the part of the response that was received looked complete.
+  void ResetDuringTheRequestIsNotTheEndOfAResponse() {
+    CPPUNIT_ASSERT(!IsCompleteAfterAnUnreadUpload("HTTP/1.1 200 OK\r\n\r\npart",
+                                                  [](RawPeer::Connection& peer) { peer.Reset(); }));
+    // The bytes that arrived before the reset may be a whole response.
+    CPPUNIT_ASSERT(IsCompleteAfterAnUnreadUpload("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart",
+                                                 [](RawPeer::Connection& peer) { peer.Reset(); }));
+  }
+
+  // Guards against a peer that dies while it reads the request: its kernel ends the connection in
+  // order if it has read all that had arrived.
+  void ResponseWithoutLengthNeedsTheWholeRequest() {
+    CPPUNIT_ASSERT(!IsCompleteAfterAnUnreadUpload("HTTP/1.1 200 OK\r\n\r\npart",
+                                                  [](RawPeer::Connection& peer) { peer.Close(); }));
+  }
+
+  // Sends a request that the peer does not read to its end. Returns whether its response was
+  // reported as complete after the peer has ended the connection.
+  static bool IsCompleteAfterAnUnreadUpload(const std::string& response,
+                                            const std::function<void(RawPeer::Connection&)>& end) {
+    Loop loop;
+    RawPeer peer;
+    peer.on_bytes_ = [&](RawPeer::Connection& connection) {
+      if (connection.is_paused_) return;
+      connection.is_paused_ = true;
+      connection.stream_->PauseReading(true);
+      connection.Write(response);
+    };
+    ClientConnection connection(peer.GetAddress(), {});
+    ExchangeRecorder recorder;
+    constexpr std::size_t kUploadBytes = std::size_t{24} << 20;
+    connection.SendRequest(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kUploadBytes) +
+            "\r\n\r\n" + std::string(kUploadBytes, 'x'),
+        false, recorder);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.body_ == "part"; }));
+    if (!recorder.IsOver()) end(*peer.connections_.front());
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
+    return recorder.done_;
+  }
+
+  // Guards against bytes of another protocol that are read as the final response.
+  void SwitchOfProtocolsIsNoResponse() {
+    Loop loop;
+    RawPeer peer;
+    peer.on_bytes_ = [](RawPeer::Connection& connection) {
+      connection.Write(
+          "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    };
+    ClientConnection connection(peer.GetAddress(), {});
+    ExchangeRecorder recorder;
+    connection.SendRequest(kGet, false, recorder);
+    CPPUNIT_ASSERT(loop.RunUntil([&] { return recorder.IsOver(); }));
+    CPPUNIT_ASSERT(!recorder.done_);
+  }
+
   // Guards against reporting a request as not sent although the target may have read it.
   void ResetAfterSendReportsBytesSent() {
     Loop loop;
--- a/src/http/tests/message_parser_test.cc
+++ b/src/http/tests/message_parser_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 namespace monsoonshelf::http {
 
@@ -16,6 +17,9 @@
   CPPUNIT_TEST(CloseDelimitedResponseEndsAtEof);
   CPPUNIT_TEST(TruncatedResponseIsNotComplete);
   CPPUNIT_TEST(RejectsBytesThatAreNotHttp);
+  CPPUNIT_TEST(RejectsMalformedResponseHeads);
+  CPPUNIT_TEST(RejectsMalformedRequestHeads);
+  CPPUNIT_TEST(AcceptsUnusualHeads);
   CPPUNIT_TEST(RemovesConnectionHeaders);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +110,118 @@
     CPPUNIT_ASSERT(parser.Error() == ParseError::kMalformed);
   }
 
+  // Returns the verdict on a response, which must not depend on how its bytes are split.
+  static ParseError VerdictOnResponse(const std::string& text) {
+    ParseError verdict = ParseError::kNone;
+    for (std::size_t split = 0; split <= text.size(); ++split) {
+      ResponseParser parser(false);
+      std::string input = text.substr(0, split);
+      input.erase(0, parser.Feed(input));
+      if (parser.Error() == ParseError::kNone && !parser.IsDone()) {
+        input += text.substr(split);
+        parser.Feed(input);
+      }
+      if (split == 0) verdict = parser.Error();
+      CPPUNIT_ASSERT_MESSAGE(text, verdict == parser.Error());
+    }
+    return verdict;
+  }
+
+  // Fields that no message may have.
+  static std::vector<std::string> MalformedFields() {
+    return {"X Y: 1",
+            "X\x01: 1",
+            "X\x7f: 1",
+            "X\x80Y: 1",
+            "X : 1",
+            " X: 1",
+            ": 1",
+            "X",
+            "X(1): 1",
+            "X: a\x01z",
+            std::string("X: a\0z", 7),
+            "X: a\rz",
+            "X: a\nY: 1",
+            "X: a\x7fz",
+            "X: a\r\n folded",
+            "X: a\r\n\tfolded",
+            "Content-Length: 5\r\nContent-Length: 6",
+            "Content-Length: -5",
+            "Content-Length: +5",
+            "Content-Length: 5, 5",
+            "Content-Length: 0x5",
+            "Content-Length:",
+            "Content-Length: 99999999999999999999999",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5",
+            "Transfer-Encoding: gzip",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: chunked, gzip",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked, chunked",
+            "Transfer-Encoding: xchunked",
+            "Transfer-Encoding: identity"};
+  }
+
+  // Guards against bytes that are no HTTP response and reach a caller as one.
+  void RejectsMalformedResponseHeads() {
+    for (const std::string status :
+         {"000", "099", "600", "999", "20", "2000", "2x0", "-20", "+20", " 200", ""}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          status, VerdictOnResponse("HTTP/1.1 " + status + " OK\r\n" +
+                                    "Content-Length: 5\r\n\r\nhello") == ParseError::kMalformed);
+    }
+    for (const std::string start :
+         {"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.2 200 OK", "HTTP/1.x 200 OK",
+          "http/1.1 200 OK", "PRI * HTTP/2.0", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K", "hello",
+          "HTTP/1.1200 OK"}) {
+      CPPUNIT_ASSERT_MESSAGE(start,
+                             VerdictOnResponse(start + "\r\nContent-Length: 5\r\n\r\nhello") ==
+                                 ParseError::kMalformed);
+    }
+    for (const std::string& field : MalformedFields()) {
+      CPPUNIT_ASSERT_MESSAGE(field, VerdictOnResponse("HTTP/1.1 200 OK\r\n" + field +
+                                                      "\r\n\r\nhello") == ParseError::kMalformed);
+    }
+    // Trailers are fields too.
+    for (const std::string field : {"X Y: 1", "X\x01: 1", ": 1", "X: a\x01z"}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          field, VerdictOnResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "5\r\nhello\r\n0\r\n" +
+                                   field + "\r\n\r\n") == ParseError::kMalformed);
+    }
+  }
+
+  void RejectsMalformedRequestHeads() {
+    for (const std::string& field : MalformedFields()) {
+      RequestParser parser(kMaxHeaderBytes, kMaxBodyBytes);
+      parser.Feed("POST / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n\r\nhello");
+      CPPUNIT_ASSERT_MESSAGE(field, parser.Error() == ParseError::kMalformed);
+    }
+  }
+
+  // Guards against proper messages that are rejected.
+  void AcceptsUnusualHeads() {
+    for (const std::string field :
+         {"X:1", "X: ", "X:\t1 \t", "!#$%&'*+-.^_`|~09az: 1", "X: a\x80\xffz", "X: a\tb",
+          "Content-Length: 5\r\nContent-Length: 5", "transfer-encoding: Chunked", "x: a: b, c"}) {
+      const bool has_length = field.find("Content-Length") != std::string::npos;
+      const bool is_chunked = field.find("Chunked") != std::string::npos;
+      const std::string rest =
+          std::string(has_length || is_chunked ? "" : "\r\nContent-Length: 5") + "\r\n\r\n" +
+          (is_chunked ? "5\r\nhello\r\n0\r\n\r\n" : "hello");
+      for (const std::string start :
+           {"HTTP/1.1 200 OK", "HTTP/1.1 599 ", "HTTP/1.0 200 \xe9t\xe9"}) {
+        if (is_chunked && start.starts_with("HTTP/1.0")) continue;
+        CPPUNIT_ASSERT_MESSAGE(
+            start + field, VerdictOnResponse(start + "\r\n" + field + rest) == ParseError::kNone);
+      }
+      RequestParser parser(kMaxHeaderBytes, kMaxBodyBytes);
+      parser.Feed("POST / HTTP/1.1\r\nHost: h\r\n" + field + rest);
+      CPPUNIT_ASSERT_MESSAGE(field, parser.IsDone());
+    }
+  }
+
   // Guards against forwarding hop-by-hop headers, including those named by Connection.
   void RemovesConnectionHeaders() {
     Headers headers = {{"connection", "X-One, close"},
--- a/src/http/tests/mocks/raw_peer.h
+++ b/src/http/tests/mocks/raw_peer.h
@@ -44,6 +44,7 @@
     std::unique_ptr<Stream> stream_;
     std::string received_;
     bool closed_ = false;
+    bool is_paused_ = false;  // For the use of a test.
   };
 
   RawPeer() {
--- a/tests/fuzz/fuzz_targets.cc
+++ b/tests/fuzz/fuzz_targets.cc
@@ -2,9 +2,12 @@
 
 #include <sstream>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "base/key_value.h"
 #include "base/result.h"
+#include "http/message_parser.h"
 #include "outcomes/outcome_table.h"
 #include "records/record_file.h"
 #include "records/records.h"
@@ -36,6 +39,40 @@
   return out;
 }
 
+// What a reader of a response finds.
+struct ResponseVerdict {
+  http::ParseError error_ = http::ParseError::kNone;
+  bool is_done_ = false;
+  int status_ = 0;
+  http::Headers headers_;
+  std::string body_;
+  bool operator==(const ResponseVerdict&) const = default;
+};
+
+// Reads the input in pieces that end at the positions of `splits`, which ascend.
+ResponseVerdict ReadResponse(std::string_view input, const std::vector<std::size_t>& splits) {
+  http::ResponseParser parser(false);
+  std::string buffer;
+  std::size_t begin = 0;
+  const auto feed = [&](std::size_t end) {
+    buffer += input.substr(begin, end - begin);
+    begin = end;
+    if (parser.Error() == http::ParseError::kNone && !parser.IsDone()) {
+      buffer.erase(0, parser.Feed(buffer));
+    }
+  };
+  for (const std::size_t split : splits) feed(split);
+  feed(input.size());
+  parser.FeedEof();
+  ResponseVerdict verdict = {parser.Error(), parser.IsDone(), 0, {}, {}};
+  // After an error nothing of the response is used.
+  if (verdict.error_ != http::ParseError::kNone || !parser.HasHead()) return verdict;
+  verdict.status_ = parser.Head().status_;
+  verdict.headers_ = parser.Head().headers_;
+  verdict.body_ = parser.Body();
+  return verdict;
+}
+
 }  // namespace
 
 void FuzzRecord(std::string_view input) {
@@ -108,4 +145,23 @@
   Require(page.str().find("<script") == std::string::npos, "values are escaped in the HTML page");
 }
 
+void FuzzResponse(std::string_view input) {
+  constexpr std::size_t kMaxSplits = 40;
+  const ResponseVerdict whole = ReadResponse(input, {});
+  if (whole.is_done_ && whole.error_ == http::ParseError::kNone) {
+    Require(whole.status_ >= 100 && whole.status_ <= 599, "a response has a status of 100 to 599");
+    for (const auto& [name, value] : whole.headers_) {
+      Require(!name.empty() && name.find_first_of(" \t\r\n:") == std::string::npos,
+              "the name of a field is a token");
+      Require(value.find_first_of("\r\n") == std::string::npos, "a field has one line");
+    }
+  }
+  const std::size_t step = input.size() / kMaxSplits + 1;
+  for (std::size_t first = 0; first <= input.size(); first += step) {
+    Require(ReadResponse(input, {first}) == whole, "two reads give the same response");
+    const std::size_t second = first + (input.size() - first) / 2;
+    Require(ReadResponse(input, {first, second}) == whole, "three reads give the same response");
+  }
+}
+
 }  // namespace monsoonshelf::fuzz
--- a/tests/fuzz/fuzz_targets.h
+++ b/tests/fuzz/fuzz_targets.h
@@ -14,6 +14,8 @@
 void FuzzKeyValues(std::string_view input);
 void FuzzChart(std::string_view input);
 void FuzzLog(std::string_view input);
+// The verdict on a response must not depend on how its bytes are split into reads.
+void FuzzResponse(std::string_view input);
 
 struct FuzzTarget {
   std::string_view name_;       // Folder of regression inputs below tests/fuzz/inputs.
@@ -21,13 +23,14 @@
   void (*run_)(std::string_view input);
 };
 
-inline constexpr std::array<FuzzTarget, 6> kFuzzTargets = {{
+inline constexpr std::array<FuzzTarget, 7> kFuzzTargets = {{
     {"records", "examples/shop/rules.json", FuzzRecord},
     {"settings", "examples/shop/entry-host.toml", FuzzSettings},
     {"call_ids", "tests/fuzz/inputs/call_ids/valid", FuzzCallId},
     {"key_values", "tests/fuzz/inputs/key_values/valid", FuzzKeyValues},
     {"charts", "src/dispatch/target.chart.toml", FuzzChart},
     {"logs", "tests/fuzz/inputs/logs/valid", FuzzLog},
+    {"responses", "tests/fuzz/inputs/responses/chunked", FuzzResponse},
 }};
 
 }  // namespace monsoonshelf::fuzz
