gateway: quotas of teams over all hosts

Cause: the limits of teams were not read, and a team at 7.5 times its usual rate ran all of its requests. Change: each team has an owner, the host of the highest rank by capacity and rendezvous hash, which keeps a token bucket. Far below the limit hosts admit at once and report each request; near it they ask first. Requests over the limit get 429 with the time until a token is free.

--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -75,6 +75,28 @@
   if (state_.settings_.max_hedge_share_ && IsIdempotent(route_->kind_)) {
     EarnHedge(Service().hedge_budget_, *state_.settings_.max_hedge_share_);
   }
+  if (access.team_ == nullptr || state_.quota_gate_ == nullptr) {
+    return StartSelection(SendPurpose::kFirst, now);
+  }
+  const QuotaVerdict verdict = state_.quota_gate_->Admit(*access.team_, *this, now);
+  if (verdict.action_ != QuotaAction::kWait) return OnQuotaDecided(verdict, now);
+  waits_for_quota_ = true;
+  SetTimer();
+}
+
+void Call::OnQuotaDecided(const QuotaVerdict& verdict, Time now) {
+  const auto self = shared_from_this();
+  waits_for_quota_ = false;
+  switch (verdict.action_) {
+    case QuotaAction::kDeny:
+      return RespondWithError(429, EndReason::kOverQuota, verdict.retry_after_, now);
+    case QuotaAction::kUnknown:
+      return RespondWithError(503, EndReason::kQuotaUnknown, verdict.retry_after_, now);
+    case QuotaAction::kWait:
+    case QuotaAction::kAdmit:
+      break;
+  }
+  is_charged_ = true;
   StartSelection(SendPurpose::kFirst, now);
 }
 
@@ -359,7 +381,8 @@
   if (exchange_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
   headers.emplace_back("Content-Type", "text/plain");
-  if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  if (status == 503 || status == 429)
+    headers.emplace_back("Retry-After", FormatSeconds(retry_after));
   if (status == 401) headers.emplace_back("WWW-Authenticate", "Bearer");
   retry_after_ = retry_after;
   exchange_->Respond(status, headers, NameOf(kEndReasonNames, reason));
@@ -370,6 +393,8 @@
   if (is_finished_) return;
   is_finished_ = true;
   timer_.Clear();
+  if (waits_for_quota_) state_.quota_gate_->Cancel(*this);
+  if (is_charged_ && possibly_executed_sends_ == 0) state_.quota_gate_->Refund(team_, now);
   if (selecting_) EndSelection();
   const Duration total = now - request_.received_;
   const Duration waiting = (first_sent_at_ == Time{} ? now : first_sent_at_) - request_.received_;
@@ -403,7 +428,7 @@
       {"probes", std::to_string(probed_targets_.size())},
       {"wait_ms", FormatMilliseconds(waiting)},
       {"total_ms", FormatMilliseconds(total)},
-      {"retry_after_ms", status == 503 ? FormatMilliseconds(retry_after_) : ""},
+      {"retry_after_ms", status == 503 || status == 429 ? FormatMilliseconds(retry_after_) : ""},
       {"caller_timeout_ms", info_.time_left_ ? FormatMilliseconds(*info_.time_left_) : ""},
       {"objective_ms", route_ != nullptr ? FormatMilliseconds(route_->latency_objective_) : ""},
       {"left_ms", deadline_ == Time::max() ? "" : FormatMilliseconds(deadline_ - now)}};
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -24,6 +24,8 @@
   kNoRoute,         // No route matches.
   kUnauthorized,    // The key is missing, invalid or unknown.
   kNoKeyProof,      // The key may have been withdrawn.
+  kOverQuota,       // The team is over its limit.
+  kQuotaUnknown,    // No host knows what the team has used.
   kNoTarget,        // No target is eligible, or none answers a probe.
   kOverloaded,      // Admission control expects no target to respond in time.
   kTargetsRefused,  // Every target rejected the request without executing it.
@@ -33,7 +35,7 @@
   kCallerGone,      // The caller closed the connection.
 };
 
-inline constexpr EnumNames<EndReason, 14> kEndReasonNames = {{
+inline constexpr EnumNames<EndReason, 16> kEndReasonNames = {{
     {EndReason::kAnswered, "answered"},
     {EndReason::kNotReady, "not_ready"},
     {EndReason::kStopping, "stopping"},
@@ -41,6 +43,8 @@
     {EndReason::kNoRoute, "no_route"},
     {EndReason::kUnauthorized, "unauthorized"},
     {EndReason::kNoKeyProof, "no_key_proof"},
+    {EndReason::kOverQuota, "over_quota"},
+    {EndReason::kQuotaUnknown, "quota_unknown"},
     {EndReason::kNoTarget, "no_target"},
     {EndReason::kOverloaded, "overloaded"},
     {EndReason::kTargetsRefused, "targets_refused"},
@@ -64,7 +68,9 @@
 };
 
 // One request of a caller, from its arrival to the final response.
-class Call : public std::enable_shared_from_this<Call>, private IQueuedRequest {
+class Call : public std::enable_shared_from_this<Call>,
+             private IQueuedRequest,
+             private IQuotaWaiter {
  public:
   Call(GatewayState& state, ICallOwner& owner, http::ServerExchangePtr exchange,
        http::Request request);
@@ -84,6 +90,8 @@
   class Attempt;
   enum class SendPurpose { kFirst, kRetry, kHedge };
 
+  // Starts the selection of a target if the quota of the team admits the request.
+  void OnQuotaDecided(const QuotaVerdict& verdict, Time now) override;
   void StartSelection(SendPurpose purpose, Time now);
   void StartSearch(Time now);
   void StartProbeRound(Time now);
@@ -156,7 +164,9 @@
   const Route* route_ = nullptr;
   std::string service_;
   std::string team_;  // Name of the team whose key the request has; empty if anonymous.
-  int priority_ = 0;  // Of the team, or else of the route; 0 is the highest.
+  bool waits_for_quota_ = false;
+  bool is_charged_ = false;  // The quota of the team was charged for the request.
+  int priority_ = 0;         // Of the team, or else of the route; 0 is the highest.
   Time deadline_ = Time::max();
   bool is_finished_ = false;
 
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -13,6 +13,7 @@
 #include "gateway/internal/call.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/peer_socket.h"
+#include "gateway/internal/quota_control.h"
 #include "gateway/internal/store_sync.h"
 #include "gateway/zone_peers.h"
 #include "http/listener.h"
@@ -145,10 +146,18 @@
               settings_.capacity_},
         store_sync_(
             store, record_format, state_, self_, [this] { OnStateChanged(); },
-            [this](const HostRecord& host) { AddOrUpdatePeer(peers_, host); },
+            [this](const HostRecord& host) {
+              AddOrUpdatePeer(peers_, host);
+              quota_control_.AddHost(host);
+            },
             // An acknowledgement without a ping: it needs no response.
             [this] { Broadcast(PeerMessageType::kAck, {}); }),
+        quota_control_(state_, self_,
+                       [this](const std::string& address, const std::string& bytes) {
+                         peer_socket_->Send(address, bytes);
+                       }),
         tick_timer_(g_main_context_get_thread_default(), [this] { OnTick(); }) {
+    state_.quota_gate_ = &quota_control_;
     peers_.self_ = self_;
     state_.zone_hosts_ = {settings_.name_};
     state_.on_target_failed_ = [this](const TargetId& target) { BroadcastTargetFailure(target); };
@@ -393,6 +402,7 @@
   }
 
   void OnDatagram(std::string_view bytes) {
+    if (IsQuotaMessage(bytes)) return quota_control_.OnMessage(bytes, Now());
     const auto message = DecodePeerMessage(bytes);
     if (!message) {
       logging::LogEvent(logging::LogLevel::kWarning, "peer_message_malformed",
@@ -516,6 +526,7 @@
   std::unique_ptr<PeerSocket> peer_socket_;
   ZonePeers peers_;
   StoreSync store_sync_;
+  QuotaControl quota_control_;
   eventloop::Timer tick_timer_;
   int tick_count_ = 0;
   Time zone_hosts_listed_at_{};
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -33,6 +33,8 @@
         retries_(Counter("monsoonshelf_gateway_repeats_total", "Repeated sends", labels)),
         cold_sends_(
             Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
+        quotas_(Counter("monsoonshelf_gateway_quota_decisions_total",
+                        "Decisions on the quotas of teams", labels)),
         hedges_(Counter("monsoonshelf_gateway_hedges_total",
                         "Second requests by result, or by the reason to withhold them", labels)),
         probes_(Counter("monsoonshelf_gateway_probes_total", "Health requests by result", labels)),
@@ -75,6 +77,7 @@
   CounterFamily& sends_;
   CounterFamily& retries_;
   CounterFamily& cold_sends_;
+  CounterFamily& quotas_;
   CounterFamily& hedges_;
   CounterFamily& probes_;
   CounterFamily& store_calls_;
@@ -130,6 +133,10 @@
   families_->cold_sends_.Add({{"service", ToString(service)}}).Increment();
 }
 
+void GatewayMetrics::CountQuota(std::string_view team, std::string_view action) {
+  families_->quotas_.Add({{"team", ToString(team)}, {"action", ToString(action)}}).Increment();
+}
+
 void GatewayMetrics::CountHedge(std::string_view service, std::string_view result) {
   families_->hedges_.Add({{"service", ToString(service)}, {"result", ToString(result)}})
       .Increment();
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -23,6 +23,8 @@
   void CountSend(std::string_view service, std::string_view result);
   void CountRetry(std::string_view service, std::string_view reason);
   void CountColdSend(std::string_view service);
+  // Counts a decision on the quota of a team.
+  void CountQuota(std::string_view team, std::string_view action);
   // Counts a second request by what became of it: sent, won, lost, or the reason to withhold it.
   void CountHedge(std::string_view service, std::string_view result);
   void CountProbe(std::string_view result);
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -20,6 +20,7 @@
 #include "gateway/internal/gateway_metrics.h"
 #include "gateway/limits.h"
 #include "gateway/placement.h"
+#include "gateway/quota.h"
 #include "gateway/routing.h"
 #include "gateway/target_health.h"
 #include "gateway/target_notices.h"
@@ -67,6 +68,24 @@
   virtual void GiveUpPlace(Time now) = 0;
 };
 
+// A request that waits for the quota of its team.
+class IQuotaWaiter {
+ public:
+  virtual ~IQuotaWaiter() = default;
+  virtual void OnQuotaDecided(const QuotaVerdict& verdict, Time now) = 0;
+};
+
+// Decides on requests by the quota of their team.
+class IQuotaGate {
+ public:
+  virtual ~IQuotaGate() = default;
+  // With kWait, the waiter is called later, unless it is cancelled before.
+  virtual QuotaVerdict Admit(const Team& team, IQuotaWaiter& waiter, Time now) = 0;
+  virtual void Cancel(IQuotaWaiter& waiter) = 0;
+  // Gives back what a request was admitted with that did not run.
+  virtual void Refund(const std::string& team, Time now) = 0;
+};
+
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
@@ -110,6 +129,7 @@
   Time calls_end_at_ = Time::max();
   Time accepts_long_until_ = Time::max();
   std::function<void(const TargetId&)> on_target_failed_;
+  IQuotaGate* quota_gate_ = nullptr;
 };
 
 // Returns whether keys may be accepted: the configuration in effect is proven to be recent, where
--- a/src/gateway/internal/teams.cc
+++ b/src/gateway/internal/teams.cc
@@ -57,6 +57,7 @@
       index_.push_back({digest, static_cast<std::uint32_t>(i)});
     }
     teams_[i].keys_ = {};
+    index_by_name_.emplace(teams_[i].name_, static_cast<std::uint32_t>(i));
   }
   std::stable_sort(
       index_.begin(), index_.end(),
@@ -77,8 +78,13 @@
   return &teams_[found->team_];
 }
 
+const Team* TeamTable::FindByName(const std::string& name) const {
+  const auto found = index_by_name_.find(name);
+  return found == index_by_name_.end() ? nullptr : &teams_[found->second];
+}
+
 KeyAccess CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
-                   bool is_proven) {
+                      bool is_proven) {
   if (credential.kind_ == Credential::Kind::kNone && allows_anonymous) {
     return {AccessDecision::kAllowed, nullptr};
   }
--- a/src/gateway/teams.h
+++ b/src/gateway/teams.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/base_types.h"
@@ -44,6 +45,7 @@
 
   // Returns the team that holds the key, or null.
   const Team* Find(const KeyDigest& digest) const;
+  const Team* FindByName(const std::string& name) const;
   const std::vector<Team>& Teams() const { return teams_; }
   std::size_t KeyCount() const { return index_.size(); }
 
@@ -54,6 +56,7 @@
   };
   std::vector<Team> teams_;        // Without their keys, which are in the index.
   std::vector<IndexEntry> index_;  // Sorted by digest.
+  std::unordered_map<std::string, std::uint32_t> index_by_name_;
 };
 
 // The key that a caller sent with its request.
@@ -82,7 +85,7 @@
 // belongs to was in force recently enough; see IsProofFresh. A request with an unknown key is
 // rejected on an anonymous route too.
 KeyAccess CheckAccess(const TeamTable& teams, const Credential& credential, bool allows_anonymous,
-                   bool is_proven);
+                      bool is_proven);
 
 // Returns whether the configuration of this host proves that a key was not withdrawn longer than
 // `revocation_time` ago. `proved_at` is the start of the last call to the store that confirmed the
