--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -24,7 +24,7 @@
 
 // Returns whether the text is a token of RFC 9110, as the name of a field has to be.
 bool IsToken(string_view text) {
-  constexpr std::string_view kSpecialCharacters = "!#$%&'*+-.^_`|~";
+  static constexpr std::string_view kSpecialCharacters = "!#$%&'*+-.^_`|~";
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) {
     const bool is_alphanumeric = (character >= 'a' && character <= 'z') ||
                                  (character >= 'A' && character <= 'Z') ||
