gateway, http: fixes found by the first run of the new tests

Cause: folded lines were searched in the last part of a header only; a full queue gave up its oldest request, so that less urgent ones had no turn; the keys of teams were kept beside their index. Change: the finder of folded lines keeps its state between reads; the oldest waiting request keeps its place; the vectors of keys are released.

--- a/src/gateway/fair_queue.h
+++ b/src/gateway/fair_queue.h
@@ -47,7 +47,7 @@
 std::optional<std::size_t> SelectNext(const std::vector<WaitingRequest>& queue, std::uint64_t turn);
 
 // Returns the index of the request that gives its place in a full queue to `arriving`, which is
-// served before it. Returns std::nullopt if `arriving` itself has to be rejected.
+// served before it. The oldest one keeps its place. Returns std::nullopt if `arriving` itself has to be rejected.
 std::optional<std::size_t> SelectVictim(const std::vector<WaitingRequest>& queue,
                                         const WaitingRequest& arriving);
 
--- a/src/gateway/internal/fair_queue.cc
+++ b/src/gateway/internal/fair_queue.cc
@@ -28,6 +28,10 @@
   return count.requests_ * std::exp(-std::max(0.0, elapsed / kUseDecayTime));
 }
 
+bool IsOlder(const WaitingRequest& left, const WaitingRequest& right) {
+  return left.arrived_at_ < right.arrived_at_;
+}
+
 auto ServiceOrder(const WaitingRequest& request) {
   return std::tuple(request.priority_, std::floor(request.team_use_ / kUseStep),
                     request.arrived_at_);
@@ -56,18 +60,21 @@
 std::optional<std::size_t> SelectNext(const std::vector<WaitingRequest>& queue,
                                       std::uint64_t turn) {
   if (queue.empty()) return std::nullopt;
-  const auto is_older = [](const WaitingRequest& left, const WaitingRequest& right) {
-    return left.arrived_at_ < right.arrived_at_;
-  };
   const auto next = turn % kTurnsPerOldest == kTurnsPerOldest - 1
-                        ? std::min_element(queue.begin(), queue.end(), is_older)
+                        ? std::min_element(queue.begin(), queue.end(), IsOlder)
                         : std::min_element(queue.begin(), queue.end(), IsServedBefore);
   return static_cast<std::size_t>(std::distance(queue.begin(), next));
 }
 
 std::optional<std::size_t> SelectVictim(const std::vector<WaitingRequest>& queue,
                                         const WaitingRequest& arriving) {
-  const auto last = std::max_element(queue.begin(), queue.end(), IsServedBefore);
+  // The oldest request keeps its place, so that less urgent ones get their turn.
+  const auto oldest = std::min_element(queue.begin(), queue.end(), IsOlder);
+  auto last = queue.end();
+  for (auto request = queue.begin(); request != queue.end(); ++request) {
+    if (request == oldest && queue.size() > 1) continue;
+    if (last == queue.end() || IsServedBefore(*last, *request)) last = request;
+  }
   if (last == queue.end() || !IsServedBefore(arriving, *last)) return std::nullopt;
   return static_cast<std::size_t>(std::distance(queue.begin(), last));
 }
--- a/src/gateway/internal/teams.cc
+++ b/src/gateway/internal/teams.cc
@@ -56,7 +56,7 @@
     for (const KeyDigest& digest : teams_[i].keys_) {
       index_.push_back({digest, static_cast<std::uint32_t>(i)});
     }
-    teams_[i].keys_ = {};
+    teams_[i].keys_ = std::vector<KeyDigest>();
     index_by_name_.emplace(teams_[i].name_, static_cast<std::uint32_t>(i));
   }
   std::stable_sort(
--- a/src/gateway/tests/streamed_response_test.cc
+++ b/src/gateway/tests/streamed_response_test.cc
@@ -168,9 +168,10 @@
       }
     }
   }
-  // The rules of the users forbid ending a response because its target is silent, and a download
-  // may take longer than the timeout of its route.
+  // Guards against ending a download at the timeout of its route (700 ms): it may take longer, and
+  // its target may be silent for less than the stall timeout.
   void SilenceDoesNotEndAStreamedResponseAtItsTimeout() {
+    host_->settings_.target_stall_timeout_ = std::chrono::seconds(10);
     RestartWithOneTarget();
     Response response;
     host_->Send("/brief/x", "body", response);
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -40,13 +40,30 @@
   });
 }
 
-// Returns whether a line of the header continues the one before it. Beast joins such lines, but
-// other programs that read the message may not.
-bool HasFoldedLine(std::string_view header) {
-  const std::size_t end = header.find("\r\n\r\n");
-  header = header.substr(0, end);
-  return header.find("\r\n ") != std::string_view::npos ||
-         header.find("\r\n\t") != std::string_view::npos;
+// Finds lines of a header that continue the one before. Beast joins such lines, but other programs
+// that read the message may not. The header is passed in parts.
+class FoldedLineFinder {
+ public:
+  // Returns whether a folded line was found.
+  bool Scan(std::string_view bytes) {
+    for (const char byte : bytes) {
+      if (line_end_bytes_ == 2 && (byte == ' ' || byte == '\t')) found_ = true;
+      if (byte == '\r') {
+        line_end_bytes_ = 1;
+      } else {
+        line_end_bytes_ = byte == '\n' && line_end_bytes_ == 1 ? 2 : 0;
+      }
+    }
+    return found_;
+  }
+
+ private:
+  int line_end_bytes_ = 0;  // Of CR LF.
+  bool found_ = false;
+};
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
 std::string ToString(string_view text) { return {text.data(), text.size()}; }
@@ -61,16 +78,14 @@
     while (consumed < bytes.size() && !this->is_done() && error_ == ParseError::kNone) {
       beast::error_code code;
       const bool had_header = this->is_header_done();
-      const std::string_view rest = bytes.substr(consumed);
       const std::size_t count = this->put(
           boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
       consumed += count;
-      if (code == bhttp::error::need_more) break;
-      if (code) SetError(code);
-      // The fields of a header are parsed at once, when all of them have arrived.
-      if (!had_header && this->is_header_done() && HasFoldedLine(rest)) {
+      if (!had_header && folded_lines_.Scan(bytes.substr(consumed - count, count))) {
         error_ = ParseError::kMalformed;
       }
+      if (code == bhttp::error::need_more) break;
+      if (code) SetError(code);
       if (count == 0) break;
     }
     // Beast limits the header, but neither chunk headers nor trailers, which it leaves unparsed
@@ -99,6 +114,7 @@
   int status_ = 0;
   int version_ = 0;  // 10 or 11.
   std::string body_;
+  FoldedLineFinder folded_lines_;
 
  protected:
   void on_request_impl(bhttp::verb /*method*/, string_view method, string_view target, int version,
@@ -132,6 +148,10 @@
     code = {};
     bool has_coding = false;
     for (const auto& [name, value] : headers_) {
+      // Beast also reads lists of numbers.
+      if (EqualsIgnoreCase(name, "Content-Length") && !IsNumber(value)) {
+        code = bhttp::error::bad_content_length;
+      }
       if (!EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
       if (has_coding || !EqualsIgnoreCase(value, "chunked") || version_ < kFirstChunkedVersion) {
         code = bhttp::error::bad_transfer_encoding;
