gateway: buckets of teams hold a part of the slack

Change: a bucket holds the burst and 0.6 of the slack, and is never in debt by design; the owner of the highest rank fills it from its start. An owner of lower rank begins when it is asked first.

--- a/src/gateway/internal/quota.cc
+++ b/src/gateway/internal/quota.cc
@@ -12,12 +12,15 @@
 
 using Seconds = std::chrono::duration<double>;
 
-// Hosts must ask when less than this share of the burst is left, minus a part of the slack: the
-// requests that hosts admit before they hear of it use up the rest.
-constexpr double kAskShare = 0.5;
-constexpr double kSlackShare = 0.3;
-// Hosts may stop asking when this share of the burst has been refilled above that.
-constexpr double kHysteresisShare = 0.25;
+// Part of the slack that a bucket gives out beside the burst. Teams of about one request a second
+// need it: their requests come in small groups. The rest is for requests that are admitted without
+// asking, and for owners that do not know of each other.
+constexpr double kSpareShare = 0.6;
+// Hosts must ask when less than this share of the bucket is left: they may admit a part of it
+// before they hear of it.
+constexpr double kAskShare = 0.35;
+// Hosts may stop asking when this share of the bucket has been refilled above that.
+constexpr double kHysteresisShare = 0.15;
 // How long a host asks after a notice, and the interval at which notices are repeated.
 constexpr Duration kMustAskTime = std::chrono::milliseconds(1500);
 constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
@@ -47,18 +50,17 @@
 // Share of the slack that the first requests of all hosts without an owner may use.
 constexpr double kLocalSlackShare = 0.5;
 
-double BucketSize(const QuotaLimit& limit) { return std::max(1.0, limit.burst_); }
-
-double AskThreshold(const QuotaLimit& limit, const QuotaBounds& bounds) {
-  return kAskShare * BucketSize(limit) - kSlackShare * bounds.slack_;
+double BucketSize(const QuotaLimit& limit, const QuotaBounds& bounds) {
+  return std::max(1.0, limit.burst_ + kSpareShare * bounds.slack_);
 }
 
-void Refill(OwnedQuota& quota, const QuotaLimit& limit, double refill_share, Time now) {
+void Refill(OwnedQuota& quota, const QuotaLimit& limit, const QuotaBounds& bounds,
+            double refill_share, Time now) {
   if (quota.updated_ != Time{} && now > quota.updated_) {
     quota.tokens_ += limit.rate_per_second_ * refill_share * Seconds(now - quota.updated_).count();
   }
   quota.updated_ = now;
-  quota.tokens_ = std::min(quota.tokens_, BucketSize(limit));
+  quota.tokens_ = std::min(quota.tokens_, BucketSize(limit, bounds));
 }
 
 Duration ToDuration(double seconds) {
@@ -79,7 +81,7 @@
   if (last.incarnation_ == sender.incarnation_ && request.sequence_ <= last.reply_.sequence_) {
     return last.reply_;
   }
-  Refill(quota, limit, refill_share, now);
+  Refill(quota, limit, bounds, refill_share, now);
   quota.tokens_ -= request.debit_;
   QuotaReply reply;
   reply.team_ = request.team_;
@@ -97,9 +99,10 @@
     const double tokens_needed = std::max<double>(1 - quota.tokens_, static_cast<double>(askers));
     reply.retry_after_ = ToDuration(tokens_needed / rate);
   }
-  const double threshold = AskThreshold(limit, bounds);
+  const double size = BucketSize(limit, bounds);
+  const double threshold = kAskShare * size;
   if (quota.tokens_ < threshold) quota.must_ask_ = true;
-  if (quota.tokens_ >= threshold + kHysteresisShare * BucketSize(limit)) quota.must_ask_ = false;
+  if (quota.tokens_ >= threshold + kHysteresisShare * size) quota.must_ask_ = false;
   if (quota.must_ask_) reply.must_ask_for_ = kMustAskTime;
   last = {sender.incarnation_, reply, now};
   return reply;
--- a/src/gateway/internal/quota_control.cc
+++ b/src/gateway/internal/quota_control.cc
@@ -104,6 +104,8 @@
   TeamState& team = FindTeam(request.team_);
   const auto& ranks = RanksOf(request.team_, team);
   const bool is_first_rank = !ranks.empty() && ranks.front() == self_.name_;
+  // Another owner may have given out tokens until now.
+  if (team.owned_.updated_ == Time{}) team.owned_.updated_ = is_first_rank ? started_at_ : now;
   const auto heard = static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [now](const auto& item) { return IsHeard(item.second, now); }));
   usually_heard_ = std::max(usually_heard_, static_cast<double>(heard));
@@ -125,7 +127,9 @@
 
 QuotaControl::TeamState& QuotaControl::FindTeam(const std::string& name) {
   const auto [found, is_new] = teams_.try_emplace(name);
-  if (is_new) found->second.quota_.must_ask_until_ = started_at_ + kMustAskAfterStart;
+  if (is_new) {
+    found->second.quota_.must_ask_until_ = started_at_ + kMustAskAfterStart;
+  }
   return found->second;
 }
 
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -53,9 +53,9 @@
     QuotaReply reply_;
     Time at_{};
   };
-  // An owner begins without tokens, since its predecessor may have spent them.
+  // An owner begins without tokens when it starts, since its predecessor may have spent them.
   double tokens_ = 0;
-  Time updated_{};
+  Time updated_{};  // Begins with the start of an owner of the highest rank.
   bool must_ask_ = false;
   Time notice_sent_at_{};
   std::map<HostName, Answered> answered_;  // The last reply to each host, for its repetition.
--- a/src/gateway/tests/quota_model.h
+++ b/src/gateway/tests/quota_model.h
@@ -45,6 +45,8 @@
 
   QuotaModel(Load load, std::uint64_t seed) : load_(std::move(load)), random_(seed) {
     hosts_.resize(static_cast<std::size_t>(load_.hosts_));
+    // The hosts started ten seconds before the first request.
+    hosts_[0].owned_.updated_ = Time{} + std::chrono::seconds(990);
   }
 
   Result Run() {
@@ -62,6 +64,7 @@
         restarted = {};
         restarted.incarnation_ = incarnation;
         restarted.quota_.must_ask_until_ = Now() + kMustAskAfterStart;
+        if (host == 0) restarted.owned_.updated_ = Now();
       }
       ideal_tokens = std::min(ideal_tokens + kStep * load_.limit_.rate_per_second_,
                               std::max(1.0, load_.limit_.burst_));
