--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -94,20 +94,40 @@
   int capacity_ = 0;  // Of processor and link, 1000 per core; see ReaderRank.
 };
 
-enum class RecordKind { kConfiguration, kTarget, kEvacuation, kHost };
+enum class RolloutState { kOrdered, kRunning, kSucceeded, kRolledBack };
 
-inline constexpr EnumNames<RecordKind, 4> kRecordKindNames = {{
+inline constexpr EnumNames<RolloutState, 4> kRolloutStateNames = {{
+    {RolloutState::kOrdered, "ordered"},
+    {RolloutState::kRunning, "running"},
+    {RolloutState::kSucceeded, "succeeded"},
+    {RolloutState::kRolledBack, "rolled_back"},
+}};
+
+// Order of the operator to replace the version of a service, and how far it was carried out.
+struct RolloutOrder {
+  std::string service_;
+  std::string target_version_;
+  Duration duration_{};  // The state must be final this long after the order.
+  RolloutState state_ = RolloutState::kOrdered;
+  Revision revision_ = 0;  // Of the object in the store.
+};
+
+enum class RecordKind { kConfiguration, kTarget, kEvacuation, kHost, kRollout };
+
+inline constexpr EnumNames<RecordKind, 5> kRecordKindNames = {{
     {RecordKind::kConfiguration, "configuration"},
     {RecordKind::kTarget, "target"},
     {RecordKind::kEvacuation, "evacuation"},
     {RecordKind::kHost, "host"},
+    {RecordKind::kRollout, "rollout"},
 }};
 
 // An object of the store. If it cannot be read, value_ is empty and problem_ describes the error.
 struct StoredRecord {
   std::string name_;
   Revision revision_ = 0;
-  std::variant<std::monostate, Configuration, TargetRecord, EvacuatedZone, HostRecord> value_;
+  std::variant<std::monostate, Configuration, TargetRecord, EvacuatedZone, HostRecord, RolloutOrder>
+      value_;
   std::string problem_;
   std::string text_;  // As received from the store, for other entry hosts.
 };
@@ -136,6 +156,7 @@
   Duration quota_window_ = std::chrono::seconds(5);
   double quota_overage_ = 0.1;
   double quota_slack_ = 20;
+  bool has_rollouts_ = false;  // The settings contain a bound on the exposure.
   // Requests that a version under roll-out may receive: share of its service's requests + slack.
   double exposure_share_ = 0.1;
   double exposure_slack_ = 50;
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -47,7 +47,8 @@
     return RespondWithError(400, EndReason::kInvalid, Duration(0), now);
   }
   configuration_ = state_.configuration_;
-  if (configuration_ == nullptr || !state_.has_target_list_) {
+  if (configuration_ == nullptr || !state_.has_target_list_ ||
+      (state_.rollout_gate_ != nullptr && !state_.rollout_gate_->IsReady(now))) {
     return RespondWithError(503, EndReason::kNotReady, kNotReadyRetryDelay, now);
   }
   if (state_.stopping_) return RespondWithError(503, EndReason::kStopping, Duration(0), now);
@@ -247,6 +248,7 @@
   const int status = attempt.head_.status_;
   if (attempt.streamed_) {
     RecordSuccess(attempt.target_->health_, now);
+    RecordForRollout(attempt, false, now);
     RecordHedgeResult(attempt, now);
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
@@ -257,6 +259,7 @@
   }
   if (attempt.IsForwardable()) {
     RecordSuccess(attempt.target_->health_, now);
+    RecordForRollout(attempt, false, now);
     RecordInTime(state_.route_timeout_stats_[route_->name_]);
     RecordHedgeResult(attempt, now);
     UpdateServiceTime(Service().service_times_[static_cast<std::size_t>(route_->kind_)], duration,
@@ -269,7 +272,10 @@
     --possibly_executed_sends_;
     return OnAttemptFailed(attempt, attempt.response_.misdirected_ ? "misdirected" : "refused");
   }
-  if (status >= 300 && status < 500 && attempt.response_.is_signed_) return RelayResponse(attempt);
+  if (status >= 300 && status < 500 && attempt.response_.is_signed_) {
+    RecordForRollout(attempt, false, now);
+    return RelayResponse(attempt);
+  }
   if (status >= 500 && attempt.response_.is_signed_ && !attempt.response_.is_encoded_) {
     for (const auto& item : attempts_) {
       if (item.get() == &attempt) error_response_ = item;
@@ -282,6 +288,9 @@
   const Time now = Now();
   state_.metrics_.CountSend(service_, result);
   last_result_ = result;
+  if (result != "refused" && result != "misdirected" && result != "not_sent") {
+    RecordForRollout(attempt, true, now);
+  }
   logging::LogEvent(logging::LogLevel::kWarning, "send_failed",
                     {{"call", info_.id_},
                      {"target", attempt.target_->record_.id_},
@@ -339,10 +348,25 @@
   WakeQueuedRequest(state_.services_[target->record_.service_], target, Now());
 }
 
+void Call::RecordForRollout(const Attempt& attempt, bool is_failure, Time now) {
+  // Retries and hedges are left out, because they reach the old version only.
+  const bool is_first = send_count_ > 0 && attempt.sent_at_ == first_sent_at_ && !attempt.is_hedge_;
+  if (state_.rollout_gate_ == nullptr || !is_first) return;
+  // Targets of the new version have started lately, and a cold target is slow with any version.
+  if (!is_failure && IsCold(attempt.target_->cold_, attempt.sent_at_)) return;
+  // The exposed requests go to few targets, which are full more often.
+  const double factor = attempt.nearly_full_ ? MakePlacementInputs(now).busy_factor_ : 1;
+  state_.rollout_gate_->Record(
+      attempt.target_->record_, route_->name_, is_failure,
+      std::chrono::duration_cast<Duration>((now - attempt.sent_at_) / factor));
+}
+
 void Call::CancelAttempts(const Attempt* kept) {
   // Closing the connection cancels the request at the target.
   std::erase_if(attempts_, [this, kept](const std::shared_ptr<Attempt>& attempt) {
     if (attempt.get() == kept) return false;
+    // A slow response that is not waited for has taken at least this time.
+    RecordForRollout(*attempt, false, Now());
     --attempt->target_->in_flight_;
     attempt->connection_->Cancel();
     state_.pool_.Release(attempt->connection_);
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -110,6 +110,13 @@
   bool MayWidenSearch() const;
   ServiceLoad CurrentServiceLoad(Time now);
   void ReleaseProbes();
+  // Returns whether the target can be sent to now, also by the roll-out of its service.
+  bool MaySendTo(const TargetState& target, Time now) const;
+  // Searches once more among the targets of the old version, if the request was to be exposed to
+  // the new one.
+  bool GiveUpExposure(Time now);
+  // Reports the first attempt of the request to the roll-out of the service.
+  void RecordForRollout(const Attempt& attempt, bool is_failure, Time now);
   void EndSelection();
   bool SendToTarget(Probe& probe, Duration expected, Time now);
   // Checks the key against the latest configuration. Without teams every request is allowed.
@@ -180,6 +187,7 @@
   TargetId freed_target_;  // See SearchSoon; may be empty.
   int searches_ = 0;       // Since the selection started.
   std::vector<ProbePtr> probes_;
+  RolloutSide rollout_side_ = RolloutSide::kOld;
   std::vector<TargetId> probed_targets_;
 
   // Attempts.
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -77,6 +77,11 @@
   selecting_ = true;
   purpose_ = purpose;
   searches_ = 0;
+  // Only the first send of a request may reach a version under roll-out.
+  if (state_.rollout_gate_ != nullptr) {
+    rollout_side_ = purpose == SendPurpose::kFirst ? state_.rollout_gate_->ChooseSide(service_, now)
+                                                   : RolloutSide::kOld;
+  }
   // The requests that wait have found no target. A new one waits behind them, and is rejected
   // without a search if they already use up its time.
   const ServiceLoad load = CurrentServiceLoad(now);
@@ -151,7 +156,7 @@
   std::vector<Candidate> remote;
   std::vector<std::uint64_t> affinities;
   for (const auto& [id, target] : Service().targets_) {
-    if (!CanSendNow(state_, *target, now)) continue;
+    if (!MaySendTo(*target, now)) continue;
     const bool same_zone = target->record_.zone_ == state_.settings_.zone_;
     if (same_zone) affinities.push_back(target->affinity_);
     if (Contains(probed_targets_, id) || Contains(attempted_targets_, id)) continue;
@@ -215,7 +220,7 @@
   std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < probes_.size(); ++i) {
     if (!probes_[i]->IsAnswered() || probes_[i]->IsRunning()) continue;
-    if (!CanSendNow(state_, *probes_[i]->Target(), now)) continue;
+    if (!MaySendTo(*probes_[i]->Target(), now)) continue;
     Candidate candidate = MakeCandidate(*probes_[i]->Target(), i, now);
     candidate.load_ = probes_[i]->Load();
     candidate.just_freed_ = probes_[i]->Target()->record_.id_ == freed_target_;
@@ -247,11 +252,18 @@
     if (widen && round_ < kMaxProbeRounds && probed_targets_.size() < Service().targets_.size()) {
       return StartProbeRound(now);
     }
-    if (!found) return EndWithoutTarget(now);
+    if (!found) {
+      if (GiveUpExposure(now)) return;
+      return EndWithoutTarget(now);
+    }
     chosen_target_load_ = FormatLoad(best->load_);
     expected_response_time_ = ExpectedResponseTime(*best, inputs);
     const AdmissionDecision decision = DecideAdmission(*best, inputs, expected_response_time_,
                                                        deadline_ - now, ObjectiveLeft(now), load);
+    // A queue at the few exposed targets would count as slowness of the new version.
+    const bool has_room =
+        !best->load_ || best->load_->running_ + best->load_->waiting_ < best->load_->slots_;
+    if ((decision.action_ != AdmissionAction::kSend || !has_room) && GiveUpExposure(now)) return;
     if (decision.action_ == AdmissionAction::kQueue && attempts_.empty()) return WaitForTarget(now);
     if (decision.action_ != AdmissionAction::kSend) return EndOverloaded(decision, now);
     // A hedged request is sent only if the target is likely to respond quickly.
@@ -268,6 +280,21 @@
   }
 }
 
+bool Call::MaySendTo(const TargetState& target, Time now) const {
+  return CanSendNow(state_, target, now) &&
+         (state_.rollout_gate_ == nullptr ||
+          state_.rollout_gate_->MayUse(target.record_, rollout_side_, now));
+}
+
+bool Call::GiveUpExposure(Time now) {
+  if (rollout_side_ != RolloutSide::kNew) return false;
+  rollout_side_ = RolloutSide::kOld;
+  searches_ = 0;
+  ReleaseProbes();
+  StartSearch(now);
+  return true;
+}
+
 void Call::EndWithoutTarget(Time now) {
   EndSelection();
   if (!attempts_.empty()) return SetTimer();
--- a/src/gateway/internal/counted_store.cc
+++ b/src/gateway/internal/counted_store.cc
@@ -37,6 +37,12 @@
   store_.ReplaceHost(host, expected, timeout, std::move(callback));
 }
 
+void CountedStore::WriteRolloutState(const RolloutOrder& order, RolloutState state,
+                                     Duration timeout, WriteCallback callback) {
+  ++counts_.writes_;
+  store_.WriteRolloutState(order, state, timeout, std::move(callback));
+}
+
 StoreCallCounts CountedStore::TakeCounts() { return std::exchange(counts_, {}); }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/counted_store.h
+++ b/src/gateway/internal/counted_store.h
@@ -25,6 +25,8 @@
   void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) override;
   void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                    WriteCallback callback) override;
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                         WriteCallback callback) override;
 
   // Returns the calls since the last time.
   StoreCallCounts TakeCounts();
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/peer_socket.h"
 #include "gateway/internal/quota_control.h"
+#include "gateway/internal/rollout_control.h"
 #include "gateway/internal/store_sync.h"
 #include "gateway/zone_peers.h"
 #include "http/listener.h"
@@ -149,6 +150,7 @@
             [this](const HostRecord& host) {
               AddOrUpdatePeer(peers_, host);
               quota_control_.AddHost(host);
+              rollout_control_.AddHost(host);
             },
             // An acknowledgement without a ping: it needs no response.
             [this] { Broadcast(PeerMessageType::kAck, {}); }),
@@ -156,8 +158,18 @@
                        [this](const std::string& address, const std::string& bytes) {
                          peer_socket_->Send(address, bytes);
                        }),
+        rollout_control_(
+            state_, self_,
+            [this](const std::string& address, const std::string& bytes) {
+              peer_socket_->Send(address, bytes);
+            },
+            [this](const RolloutOrder& order, RolloutState state,
+                   IRecordStore::WriteCallback callback) {
+              store_sync_.WriteRolloutState(order, state, std::move(callback));
+            }),
         tick_timer_(g_main_context_get_thread_default(), [this] { OnTick(); }) {
     state_.quota_gate_ = &quota_control_;
+    if (settings_.bounds_.has_rollouts_) state_.rollout_gate_ = &rollout_control_;
     peers_.self_ = self_;
     state_.zone_hosts_ = {settings_.name_};
     state_.on_target_failed_ = [this](const TargetId& target) { BroadcastTargetFailure(target); };
@@ -197,7 +209,12 @@
 
   void Stop() override { HandleLifecycleEvent(LifecycleEvent::kStop); }
 
-  void Reload(const GatewaySettings& settings) override { settings_.bounds_ = settings.bounds_; }
+  void Reload(const GatewaySettings& settings) override {
+    // Whether the orders are read is decided at the start.
+    const bool has_rollouts = settings_.bounds_.has_rollouts_;
+    settings_.bounds_ = settings.bounds_;
+    settings_.bounds_.has_rollouts_ = has_rollouts;
+  }
   bool IsStopped() const override { return lifecycle_state_ == LifecycleState::kStopped; }
 
  private:
@@ -271,9 +288,14 @@
   }
 
   void OnStateChanged() {
+    const Time now = Now();
+    if (state_.rollout_gate_ != nullptr) rollout_control_.OnRecords(now);
     if (state_.configuration_ != nullptr) {
       caller_connections_.SetLimits(state_.configuration_->configuration_.limits_);
-      if (state_.has_target_list_) HandleLifecycleEvent(LifecycleEvent::kConfigured);
+      const bool knows_orders = state_.rollout_gate_ == nullptr || rollout_control_.IsReady(now);
+      if (state_.has_target_list_ && knows_orders) {
+        HandleLifecycleEvent(LifecycleEvent::kConfigured);
+      }
     }
   }
 
@@ -288,6 +310,10 @@
     RemoveExpiredTargets(state_, now);
     EndTargetPauses(state_, now);
     UpdatePeers(now);
+    if (state_.rollout_gate_ != nullptr) {
+      rollout_control_.Update(now);
+      if (lifecycle_state_ == LifecycleState::kStarting) OnStateChanged();
+    }
     store_sync_.OnTick(FindReaders(peers_, now), now);
     if (++tick_count_ % kTicksPerMetricsUpdate == 0) UpdateGauges(now);
     AdvanceStop(now);
@@ -403,6 +429,10 @@
 
   void OnDatagram(std::string_view bytes) {
     if (IsQuotaMessage(bytes)) return quota_control_.OnMessage(bytes, Now());
+    if (IsRolloutMessage(bytes)) {
+      if (state_.rollout_gate_ != nullptr) rollout_control_.OnMessage(bytes, Now());
+      return;
+    }
     const auto message = DecodePeerMessage(bytes);
     if (!message) {
       logging::LogEvent(logging::LogLevel::kWarning, "peer_message_malformed",
@@ -527,6 +557,7 @@
   ZonePeers peers_;
   StoreSync store_sync_;
   QuotaControl quota_control_;
+  RolloutControl rollout_control_;
   eventloop::Timer tick_timer_;
   int tick_count_ = 0;
   Time zone_hosts_listed_at_{};
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -33,6 +33,10 @@
         retries_(Counter("monsoonshelf_gateway_repeats_total", "Repeated sends", labels)),
         cold_sends_(
             Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
+        rollout_responses_(Counter("monsoonshelf_gateway_rollout_responses_total",
+                                   "Responses of services under roll-out", labels)),
+        rollout_writes_(Counter("monsoonshelf_gateway_rollout_writes_total",
+                                "Writes of the state of a roll-out", labels)),
         quotas_(Counter("monsoonshelf_gateway_quota_decisions_total",
                         "Decisions on the quotas of teams", labels)),
         hedges_(Counter("monsoonshelf_gateway_hedges_total",
@@ -77,6 +81,8 @@
   CounterFamily& sends_;
   CounterFamily& retries_;
   CounterFamily& cold_sends_;
+  CounterFamily& rollout_responses_;
+  CounterFamily& rollout_writes_;
   CounterFamily& quotas_;
   CounterFamily& hedges_;
   CounterFamily& probes_;
@@ -137,6 +143,20 @@
   families_->quotas_.Add({{"team", ToString(team)}, {"action", ToString(action)}}).Increment();
 }
 
+void GatewayMetrics::CountRolloutResponse(std::string_view service, std::string_view version,
+                                          std::string_view result) {
+  families_->rollout_responses_
+      .Add({{"service", ToString(service)},
+            {"version", ToString(version)},
+            {"result", ToString(result)}})
+      .Increment();
+}
+
+void GatewayMetrics::CountRolloutWrite(std::string_view state, std::string_view status) {
+  families_->rollout_writes_.Add({{"state", ToString(state)}, {"status", ToString(status)}})
+      .Increment();
+}
+
 void GatewayMetrics::CountHedge(std::string_view service, std::string_view result) {
   families_->hedges_.Add({{"service", ToString(service)}, {"result", ToString(result)}})
       .Increment();
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -27,6 +27,10 @@
   void CountQuota(std::string_view team, std::string_view action);
   // Counts a second request by what became of it: sent, won, lost, or the reason to withhold it.
   void CountHedge(std::string_view service, std::string_view result);
+  // Counts a response to a request of a service under roll-out, and a write of its state.
+  void CountRolloutResponse(std::string_view service, std::string_view version,
+                            std::string_view result);
+  void CountRolloutWrite(std::string_view state, std::string_view status);
   void CountProbe(std::string_view result);
   void CountStoreCall(std::string_view kind, std::string_view status);
   void CountDirectoryQuery();
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -21,6 +21,7 @@
 #include "gateway/limits.h"
 #include "gateway/placement.h"
 #include "gateway/quota.h"
+#include "gateway/rollout.h"
 #include "gateway/routing.h"
 #include "gateway/target_health.h"
 #include "gateway/target_notices.h"
@@ -86,6 +87,20 @@
   virtual void Refund(const std::string& team, Time now) = 0;
 };
 
+// Decides which versions of a service a request may be sent to. Null where there are no roll-outs.
+class IRolloutGate {
+ public:
+  virtual ~IRolloutGate() = default;
+  // Returns whether the orders are known, so that requests may be sent.
+  virtual bool IsReady(Time now) const = 0;
+  // Returns the versions that a new request of the service may be sent to, and counts it.
+  virtual RolloutSide ChooseSide(const std::string& service, Time now) = 0;
+  virtual bool MayUse(const TargetRecord& target, RolloutSide side, Time now) = 0;
+  // Records the first response to a request, or a failure.
+  virtual void Record(const TargetRecord& target, const std::string& route, bool is_failure,
+                      Duration duration) = 0;
+};
+
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
@@ -130,6 +145,9 @@
   Time accepts_long_until_ = Time::max();
   std::function<void(const TargetId&)> on_target_failed_;
   IQuotaGate* quota_gate_ = nullptr;
+  IRolloutGate* rollout_gate_ = nullptr;
+  std::map<std::string, RolloutOrder> rollouts_;  // By service.
+  bool has_rollout_list_ = false;
 };
 
 // Returns whether keys may be accepted: the configuration in effect is proven to be recent, where
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -357,4 +357,9 @@
   callback({StoreStatus::kRefused, 0});
 }
 
+void PeerRecordStore::WriteRolloutState(const RolloutOrder& /*order*/, RolloutState /*state*/,
+                                        Duration /*timeout*/, WriteCallback callback) {
+  callback({StoreStatus::kRefused, 0});
+}
+
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -82,6 +82,8 @@
   void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) override;
   void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                    WriteCallback callback) override;
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                         WriteCallback callback) override;
 
  private:
   const IRecordFormat& format_;
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -47,6 +47,7 @@
       configuration_feed_(RecordKind::kConfiguration, MakeFeedHandler(RecordKind::kConfiguration)),
       target_feed_(RecordKind::kTarget, MakeFeedHandler(RecordKind::kTarget)),
       evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)),
+      rollout_feed_(RecordKind::kRollout, MakeFeedHandler(RecordKind::kRollout)),
       on_reader_(std::move(on_reader)),
       content_age_timer_(g_main_context_get_thread_default(), [this] { CheckContentAge(Now()); }),
       gate_timer_(g_main_context_get_thread_default(), [this] { RunGate(Now()); }) {}
@@ -139,6 +140,7 @@
 
 RecordFeed& StoreSync::Feed(RecordKind kind) {
   if (kind == RecordKind::kTarget) return target_feed_;
+  if (kind == RecordKind::kRollout) return rollout_feed_;
   return kind == RecordKind::kEvacuation ? evacuation_feed_ : configuration_feed_;
 }
 
@@ -151,7 +153,9 @@
 }
 
 void StoreSync::CompareOtherKinds(const ContentVersions& contents) {
-  for (const RecordKind kind : {RecordKind::kTarget, RecordKind::kEvacuation}) {
+  for (const RecordKind kind :
+       {RecordKind::kTarget, RecordKind::kEvacuation, RecordKind::kRollout}) {
+    if (kind == RecordKind::kRollout && !state_.settings_.bounds_.has_rollouts_) continue;
     const auto other = contents.find(kind);
     // At another revision, changes are still on their way.
     if (other == contents.end() || other->second.revision_ != caches_[kind].revision_) continue;
@@ -175,6 +179,7 @@
 void StoreSync::RestartTargetAndEvacuationFeeds() {
   target_feed_.Restart();
   evacuation_feed_.Restart();
+  if (state_.settings_.bounds_.has_rollouts_) rollout_feed_.Restart();
 }
 
 void StoreSync::OnSnapshot(RecordKind kind, const std::vector<StoredRecord>& records,
@@ -195,6 +200,10 @@
     std::set<std::string> missing = state_.evacuated_zones_;
     for (const std::string& zone : present) missing.erase(zone);
     for (const std::string& zone : missing) DeleteRecord(kind, zone);
+  } else if (kind == RecordKind::kRollout) {
+    std::erase_if(state_.rollouts_,
+                  [&](const auto& item) { return !present.contains(item.first); });
+    state_.has_rollout_list_ = true;
   }
   for (const StoredRecord& record : records) PutRecord(kind, record);
   if (kind == RecordKind::kTarget) state_.has_target_list_ = true;
@@ -257,6 +266,9 @@
       logging::LogEvent(logging::LogLevel::kInfo, "zone_evacuated",
                         {{"name", zone->zone_}, {"revision", std::to_string(record.revision_)}});
     }
+  } else if (const auto* order = std::get_if<RolloutOrder>(&record.value_)) {
+    state_.rollouts_[order->service_] = *order;
+    state_.rollouts_[order->service_].revision_ = record.revision_;
   }
 }
 
@@ -267,6 +279,7 @@
     }
     return;
   }
+  if (kind == RecordKind::kRollout) state_.rollouts_.erase(name);
   if (kind != RecordKind::kTarget) return;
   const auto found = state_.targets_.find(name);
   if (found == state_.targets_.end()) return;
@@ -310,6 +323,8 @@
                       {{"kind", KindName(kind)},
                        {"source", source_.empty() ? "store" : source_},
                        {"status", std::string(NameOf(kStoreStatusNames, status))}});
+    // A host of an earlier version has no roll-outs, and is a good source of the other records.
+    if (kind == RecordKind::kRollout) return;
     return OnSourceFailed(status, now);
   }
   if (source_.empty()) {
@@ -360,6 +375,11 @@
   RestartTargetAndEvacuationFeeds();
 }
 
+void StoreSync::WriteRolloutState(const RolloutOrder& order, RolloutState state,
+                                  IRecordStore::WriteCallback callback) {
+  store_.WriteRolloutState(order, state, kWriteTimeout, std::move(callback));
+}
+
 void StoreSync::RegisterHost() {
   next_registration_ = Time::max();
   const auto done = [this](const StoreWrite& write) { OnHostRegistered(write); };
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -59,6 +59,9 @@
   bool IsStoreLost() const { return is_lost_; }
   // Returns when the store last confirmed the content.
   Time ConfirmedAt() const { return configuration_feed_.ConfirmedAt(); }
+  // Writes the state of a roll-out if the order still has the revision that is known.
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state,
+                         IRecordStore::WriteCallback callback);
   std::size_t KnownHostCount() const { return hosts_.size(); }
   RecordServer& Server() { return server_; }
 
@@ -139,6 +142,7 @@
   RecordFeed configuration_feed_;
   RecordFeed target_feed_;
   RecordFeed evacuation_feed_;
+  RecordFeed rollout_feed_;  // Runs only where roll-outs are enabled.
 
   OnReader on_reader_;
   ZoneReaders zone_;
--- a/src/gateway/internal/store_sync_source.cc
+++ b/src/gateway/internal/store_sync_source.cc
@@ -71,6 +71,7 @@
   start_feed(configuration_feed_, kStoreConfigurationFeed);
   start_feed(target_feed_, kStoreFeed);
   start_feed(evacuation_feed_, kStoreFeed);
+  if (state_.settings_.bounds_.has_rollouts_) start_feed(rollout_feed_, kStoreFeed);
   // After this time the reader of the zone is known, so most hosts never read more from the store.
   RequestTurn(gate_, "start", 0, now + kFirstWatchPause);
   RunGate(now);
@@ -217,12 +218,14 @@
     configuration_feed_.ReadFrom(store_, kStoreConfigurationFeed);
     target_feed_.ReadFrom(store_, kStoreFeed);
     evacuation_feed_.ReadFrom(store_, kStoreFeed);
+    if (state_.settings_.bounds_.has_rollouts_) rollout_feed_.ReadFrom(store_, kStoreFeed);
     return;
   }
   peer_store_ = std::make_unique<PeerRecordStore>(*parsed, format_);
   configuration_feed_.ReadFrom(*peer_store_, kPeerConfigurationFeed);
   target_feed_.ReadFrom(*peer_store_, kPeerFeed);
   evacuation_feed_.ReadFrom(*peer_store_, kPeerFeed);
+  if (state_.settings_.bounds_.has_rollouts_) rollout_feed_.ReadFrom(*peer_store_, kPeerFeed);
 }
 
 void StoreSync::ReadStore(Time now) {
@@ -237,6 +240,7 @@
   configuration_feed_.Pause();
   target_feed_.Pause();
   evacuation_feed_.Pause();
+  rollout_feed_.Pause();
 }
 
 void StoreSync::ProbeStore(Time now) {
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -102,6 +102,10 @@
   // Replaces the registration if its revision is `expected`; otherwise returns kConflict.
   virtual void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                            WriteCallback callback) = 0;
+  // Writes the state of the order if the revision of the object is that of `order`; otherwise
+  // returns kConflict.
+  virtual void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                                 WriteCallback callback) = 0;
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/tests/mocks/mock_record_store.h
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -109,6 +109,24 @@
     Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_});
   }
 
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration /*timeout*/,
+                         WriteCallback callback) override {
+    ++write_calls_;
+    if (status_ != StoreStatus::kOk) return Reply(std::move(callback), StoreWrite{status_, 0});
+    StoredRecord record = records_[RecordKind::kRollout][order.service_];
+    if (record.revision_ != order.revision_) {
+      return Reply(std::move(callback), StoreWrite{StoreStatus::kConflict, record.revision_});
+    }
+    std::get<RolloutOrder>(record.value_).state_ = state;
+    record.text_ += std::string(" ") + std::string(NameOf(kRolloutStateNames, state));
+    Put(RecordKind::kRollout, record);
+    rollout_writes_.push_back(state);
+    // The write has taken effect, also if its response is lost.
+    const bool is_lost = std::exchange(loses_rollout_response_, false);
+    Reply(std::move(callback),
+          StoreWrite{is_lost ? StoreStatus::kUnreachable : StoreStatus::kOk, revision_});
+  }
+
   using Records = std::map<RecordKind, std::map<std::string, StoredRecord>>;
   Records records_;
   std::optional<Records> stale_records_;  // Content of stale lists; unset for the current records.
@@ -121,6 +139,8 @@
   std::vector<ListCall> list_calls_;
   int watch_calls_ = 0;
   int write_calls_ = 0;
+  bool loses_rollout_response_ = false;       // Of the next write of a roll-out.
+  std::vector<RolloutState> rollout_writes_;  // That took effect.
 
  private:
   struct WaitingWatch {
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -98,6 +98,22 @@
       CreateHost(host, timeout, std::move(callback));
     }
 
+    void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                           WriteCallback callback) override {
+      Add(RecordKind::kRollout, -1, Duration(0), timeout,
+          [this, order, state, callback](StoreStatus status) {
+            StoredRecord record = store_.records_[RecordKind::kRollout][order.service_];
+            if (status == StoreStatus::kOk && record.revision_ != order.revision_) {
+              return callback({StoreStatus::kConflict, record.revision_});
+            }
+            if (status == StoreStatus::kOk) {
+              std::get<RolloutOrder>(record.value_).state_ = state;
+              store_.Put(RecordKind::kRollout, record);
+            }
+            callback({status, store_.revision_});
+          });
+    }
+
     int calls_ = 0;
     int reads_ = 0;          // Watches and latest lists, without stale lists.
     int calls_to_lose_ = 0;  // The next calls that get no response, as on a dead connection.
