gateway: replies about a roll-out confirm from when the report was sent

A reply that waited in the socket of a frozen host confirmed a version that could be condemned since. Replies now repeat the time of the report. Marks of silent deciding hosts end with the roll-out.

--- a/src/gateway/internal/rollout_control.cc
+++ b/src/gateway/internal/rollout_control.cc
@@ -201,7 +201,9 @@
   if (rollout.knows_start_) message.elapsed_ = std::max(Duration{}, now - rollout.started_at_);
   message.report_ = {rollout.epoch_, {}, rollout.notice_};
   message.is_reply_ = is_reply;
-  if (!is_reply) message.report_.counts_ = rollout.counts_;
+  if (is_reply) return message;
+  message.report_.counts_ = rollout.counts_;
+  message.report_sent_at_ = now;
   return message;
 }
 
@@ -342,24 +344,30 @@
 }
 
 void RolloutControl::OnRecords(Time now) {
-  UpdateVersions(now);
+  if (!had_list_ || !had_targets_) UpdateVersions(now);
   UpdateOrders(now);
 }
 
 void RolloutControl::Update(Time now) {
   if (updated_at_ != Time{} && now - updated_at_ > kStandstill) acts_from_ = now + kCatchUpTime;
-  OnRecords(now);
+  UpdateVersions(now);
+  UpdateOrders(now);
   updated_at_ = now;
+  bool is_active = false;
   for (auto& [service, rollout] : rollouts_) {
     if (IsFinal(rollout.order_.state_)) {
       rollout.tally_ = {};
       rollout.counts_.clear();
       continue;
     }
+    is_active = true;
     UpdateTargets(rollout, now);
     Report(rollout, now);
     Decide(rollout, now);
   }
+  // The last reports of a roll-out are not answered.
+  if (is_active) return;
+  for (auto& [name, host] : hosts_) host.asked_at_ = {};
 }
 
 void RolloutControl::OnMessage(std::string_view bytes, Time now) {
@@ -387,11 +395,15 @@
   }
   RaiseNotice(rollout, message->report_.notice_, "told by " + message->sender_, now);
   if (message->is_reply_) {
-    rollout.confirmed_at_ = now;
+    // A reply may have waited in the socket while this process stood still.
+    rollout.confirmed_at_ =
+        std::max(rollout.confirmed_at_, std::min(message->report_sent_at_, now));
     return;
   }
   ApplyReport(rollout.tally_, message->sender_, message->report_, now);
-  send_(message->sender_address_, EncodeRolloutMessage(MakeMessage(rollout, true, now)));
+  RolloutMessage reply = MakeMessage(rollout, true, now);
+  reply.report_sent_at_ = message->report_sent_at_;
+  send_(message->sender_address_, EncodeRolloutMessage(reply));
 }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/rollout_messages.cc
+++ b/src/gateway/internal/rollout_messages.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxCountBytes = 1000;
 constexpr std::int64_t kMaxCount = 1'000'000'000;
 constexpr std::int64_t kMaxMilliseconds = 1'000'000'000;
+constexpr std::int64_t kMaxMicroseconds = 1'000'000'000'000'000'000;
 
 bool IsCount(const Json& item, std::int64_t max) {
   return item.is_number_integer() && item.get<std::int64_t>() >= 0 &&
@@ -70,9 +71,13 @@
 bool IsRolloutMessage(std::string_view bytes) { return bytes.starts_with(kPrefix); }
 
 std::string EncodeRolloutMessage(const RolloutMessage& message) {
-  Json body = {{"n", message.sender_},        {"a", message.sender_address_},
-               {"s", message.service_},       {"v", message.target_version_},
-               {"k", message.report_.epoch_}, {"f", static_cast<int>(message.report_.notice_)},
+  Json body = {{"n", message.sender_},
+               {"a", message.sender_address_},
+               {"s", message.service_},
+               {"v", message.target_version_},
+               {"k", message.report_.epoch_},
+               {"f", static_cast<int>(message.report_.notice_)},
+               {"t", message.report_sent_at_.time_since_epoch().count()},
                {"r", message.is_reply_}};
   if (message.elapsed_) {
     body["e"] = std::chrono::duration_cast<std::chrono::milliseconds>(*message.elapsed_).count();
@@ -121,16 +126,18 @@
   const Json* const epoch = Find(body, "k");
   const Json* const notice = Find(body, "f");
   const Json* const is_reply = Find(body, "r");
+  const Json* const sent_at = Find(body, "t");
   if (!ReadString(body, "n", message.sender_) || !ReadString(body, "a", message.sender_address_) ||
       !ReadString(body, "s", message.service_) || !ReadString(body, "v", message.target_version_) ||
       epoch == nullptr || !epoch->is_number_unsigned() || notice == nullptr ||
       !IsCount(*notice, static_cast<int>(RolloutNotice::kCondemned)) || is_reply == nullptr ||
-      !is_reply->is_boolean()) {
+      !is_reply->is_boolean() || sent_at == nullptr || !IsCount(*sent_at, kMaxMicroseconds)) {
     return std::nullopt;
   }
   message.report_.epoch_ = epoch->get<std::uint64_t>();
   message.report_.notice_ = static_cast<RolloutNotice>(notice->get<int>());
   message.is_reply_ = is_reply->get<bool>();
+  message.report_sent_at_ = Time(Duration(sent_at->get<std::int64_t>()));
   if (const Json* const elapsed = Find(body, "e")) {
     if (!IsCount(*elapsed, kMaxMilliseconds)) return std::nullopt;
     message.elapsed_ = std::chrono::milliseconds(elapsed->get<std::int64_t>());
--- a/src/gateway/internal/rollout_messages.h
+++ b/src/gateway/internal/rollout_messages.h
@@ -17,6 +17,8 @@
   std::string target_version_;
   std::optional<Duration> elapsed_;  // Since the order; empty if the sender does not know it.
   RolloutReport report_;
+  // When the report was sent, by the clock of its sender. A reply repeats it; a notice has none.
+  Time report_sent_at_{};
   bool is_reply_ = false;  // Of a deciding host; it has no counts.
 };
 
--- a/src/gateway/tests/rollout_control_test.cc
+++ b/src/gateway/tests/rollout_control_test.cc
@@ -185,6 +185,7 @@
       ++conflicts_;
       replies_.push_back([this, callback] {
         callback({StoreStatus::kConflict, order_.revision_});
+        Publish();
       });
       return;
     }
@@ -194,7 +195,8 @@
     if (state != RolloutState::kRunning) final_at_ = now_;
     replies_.push_back([this, callback, is_lost = loses_responses_] {
       callback({is_lost ? StoreStatus::kUnreachable : StoreStatus::kOk, order_.revision_});
-      Publish();
+      // Otherwise the hosts read the order only after the write was repeated.
+      if (!is_lost) Publish();
     });
   }
 
@@ -220,6 +222,7 @@
   CPPUNIT_TEST(DecidingHostDoesNotReachTheStore);
   CPPUNIT_TEST(TwoHostsDecide);
   CPPUNIT_TEST(ResponseToTheWriteIsLost);
+  CPPUNIT_TEST(OldReplyConfirmsNothing);
   CPPUNIT_TEST(StoreIsRestoredFromACopy);
   CPPUNIT_TEST(VersionIsHeldBackUntilItsOrderIsKnown);
   CPPUNIT_TEST(GatewayRollsABadVersionBack);
@@ -307,9 +310,30 @@
     Fleet fleet;
     fleet.loses_responses_ = true;
     fleet.Run(seconds(25));
+    CPPUNIT_ASSERT(fleet.conflicts_ >= 2);
     CPPUNIT_ASSERT(fleet.written_ == kSucceeds);
   }
 
+  // Guards against replies that waited in the socket of a frozen host and seem to be new.
+  void OldReplyConfirmsNothing() {
+    Fleet fleet;
+    fleet.Run(seconds(3));
+    auto& host = fleet.Decider(4);
+    RolloutMessage reply = {"h0", "h0", "s", "v2", {}, {}, fleet.now_, true};
+    fleet.now_ += seconds(6);
+    host.control_->OnMessage(EncodeRolloutMessage(reply), fleet.now_);
+    for (int i = 0; i < 100; ++i) {
+      CPPUNIT_ASSERT(host.control_->ChooseSide("s", fleet.now_) == RolloutSide::kOld);
+    }
+    reply.report_sent_at_ = fleet.now_;
+    host.control_->OnMessage(EncodeRolloutMessage(reply), fleet.now_);
+    int exposed = 0;
+    for (int i = 0; i < 100; ++i) {
+      exposed += host.control_->ChooseSide("s", fleet.now_) == RolloutSide::kNew ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(exposed >= 5 && exposed <= 7);
+  }
+
   // Guards against a version that was taken back and is used again, because the store forgot it.
   void StoreIsRestoredFromACopy() {
     Fleet fleet;
