--- a/src/gateway/tests/rollout_control_test.cc
+++ b/src/gateway/tests/rollout_control_test.cc
@@ -66,7 +66,7 @@
             datagrams_.push_back({self, address, bytes});
           },
           [this, self](const RolloutOrder& order, RolloutState state,
-                       IRecordStore::WriteCallback callback) {
+                       const IRecordStore::WriteCallback& callback) {
             Write(*self, order, state, callback);
           });
       for (const auto& other : hosts_) host->control_->AddHost(MakeRecord(*other));
--- a/src/gateway/tests/rollout_model.h
+++ b/src/gateway/tests/rollout_model.h
@@ -52,6 +52,7 @@
 
   Result Run() {
     std::vector<ExposureCandidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(load_.targets_));
     for (int i = 0; i < load_.targets_; ++i) {
       candidates.push_back({std::to_string(i), std::string(1, static_cast<char>('a' + i % 3))});
     }
--- a/src/gateway/tests/rollout_test.cc
+++ b/src/gateway/tests/rollout_test.cc
@@ -246,6 +246,7 @@
  private:
   static std::vector<ExposureCandidate> Candidates(int count) {
     std::vector<ExposureCandidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       candidates.push_back({std::to_string(i), std::string(1, static_cast<char>('a' + i % 3))});
     }
