gateway: follow a store that was restored from a copy

Cause: after a restore the store reissues revisions for other content and lacks acknowledged writes. Hosts compared revisions alone, so that watches continued at reissued ones, lists of a lower revision were ignored, and lost host records were not written again.

Change: Store-Era is read from every response and passed on between hosts. Another era makes all feeds list the latest records. The mock stores and the store of the soak can go back to a copy.

--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -53,6 +53,8 @@
                                    "Responses of another host that holds other records", labels)),
         source_changes_(Counter("monsoonshelf_gateway_source_changes_total",
                                 "Changes of the source of the records by cause", labels)),
+        store_eras_(Counter("monsoonshelf_gateway_store_era_events_total",
+                            "Restores of the store and their effects by event", labels)),
         total_(Histogram("monsoonshelf_gateway_request_seconds", "From request to answer", labels)),
         waiting_(
             Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
@@ -87,6 +89,7 @@
   CounterFamily& content_overdue_;
   CounterFamily& differing_records_;
   CounterFamily& source_changes_;
+  CounterFamily& store_eras_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
   HistogramFamily& at_target_;
@@ -168,6 +171,10 @@
   families_->source_changes_.Add({{"cause", ToString(cause)}}).Increment();
 }
 
+void GatewayMetrics::CountStoreEra(std::string_view event, double count) {
+  families_->store_eras_.Add({{"event", ToString(event)}}).Increment(count);
+}
+
 void GatewayMetrics::CountDirectoryQuery() { families_->directory_queries_.Add({}).Increment(); }
 
 void GatewayMetrics::SetGauge(std::string_view name, double value) {
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -37,6 +37,9 @@
   void CountContentOverdue();
   // Counts a response of another host after which this host holds other records than that one.
   void CountDifferingRecords(std::string_view kind);
+  // Counts what follows a restore of the store from a copy: seen, ignored, held_over, dropped,
+  // written_again, registration_kept.
+  void CountStoreEra(std::string_view event, double count = 1);
   // Counts a change of the source that the records are read from. `cause` is the one in its log
   // line `source_chosen`.
   void CountSourceChange(std::string_view cause);
--- a/src/gateway/internal/record_cache.cc
+++ b/src/gateway/internal/record_cache.cc
@@ -49,8 +49,15 @@
   if (cache.revision_ != 0) cache.revision_ = std::max(cache.revision_, revision);
 }
 
-void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records,
-                    Revision revision) {
+void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records, Revision revision,
+                    Era era) {
+  // Content without an era may be of an earlier one.
+  const bool is_new_era = era != 0 && era != cache.era_;
+  if (is_new_era) {
+    cache.era_ = era;
+    cache.changes_.clear();
+    cache.revision_ = 0;
+  }
   const bool first = cache.revision_ == 0;
   std::set<std::string> present;
   for (const StoredRecord& record : records) {
@@ -68,7 +75,7 @@
       ++record;
       continue;
     }
-    AddChange(cache, revision, record->first, true);
+    if (!first) AddChange(cache, revision, record->first, true);
     record = EraseRecord(cache, record);
   }
   cache.revision_ = std::max(cache.revision_, revision);
@@ -110,4 +117,9 @@
   return events;
 }
 
+std::optional<std::vector<StoreEvent>> EventsAfter(const RecordCache& cache, StoreVersion version) {
+  if (version.era_ != 0 && version.era_ != cache.era_) return std::nullopt;
+  return EventsAfter(cache, version.revision_);
+}
+
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -25,6 +25,9 @@
 constexpr std::string_view kHeldHeader = "Held-Ms";
 // What the host holds of each kind: `configuration=REVISION:DIGEST,target=REVISION:DIGEST`.
 constexpr std::string_view kContentsHeader = "Records-Content";
+// Era of each kind: `configuration=ERA,target=ERA`. A header of its own, because hosts of an
+// earlier version cannot read another format of Records-Content.
+constexpr std::string_view kEraHeader = "Records-Era";
 // Limits the list of all records of a kind. The store accepts values of up to one megabyte.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 20;
 constexpr int kHistoryGoneStatus = 410;
@@ -93,12 +96,39 @@
   return text;
 }
 
+std::string FormatEras(const RecordCaches& caches) {
+  std::string text;
+  for (const auto& [kind, cache] : caches) {
+    if (cache.era_ == 0) continue;
+    if (!text.empty()) text += ',';
+    text.append(NameOf(kRecordKindNames, kind)).append("=").append(std::to_string(cache.era_));
+  }
+  return text;
+}
+
 template <typename Number>
 bool ParseNumber(std::string_view text, Number& number) {
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
   return error == std::errc() && end == text.data() + text.size();
 }
 
+// Leaves out what cannot be read, as ParseContents does.
+std::map<RecordKind, Era> ParseEras(const http::Headers& headers) {
+  std::map<RecordKind, Era> eras;
+  const std::string* text = http::FindHeader(headers, kEraHeader);
+  std::string_view rest = text == nullptr ? std::string_view() : *text;
+  while (!rest.empty()) {
+    const std::string_view part = rest.substr(0, rest.find(','));
+    rest.remove_prefix(std::min(part.size() + 1, rest.size()));
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto kind = ValueOf(kRecordKindNames, part.substr(0, equals));
+    Era era = 0;
+    if (kind && ParseNumber(part.substr(equals + 1), era) && era > 0) eras[*kind] = era;
+  }
+  return eras;
+}
+
 // Leaves out what cannot be read: hosts of another version may know other kinds.
 ContentVersions ParseContents(const http::Headers& headers) {
   ContentVersions contents;
@@ -178,6 +208,11 @@
   } else if (result.status_ != 0) {
     events.status_ = StoreStatus::kRefused;
   }
+  for (const auto& [other, era] : ParseEras(result.headers_)) {
+    if (other == kind) events.era_ = era;
+    const auto content = events.contents_.find(other);
+    if (content != events.contents_.end()) content->second.era_ = era;
+  }
   return events;
 }
 
@@ -205,10 +240,11 @@
   const std::int64_t wait =
       std::clamp<std::int64_t>(QueryParameter(request.head_.target_, "wait_ms"), 0, kMaxWaitMs);
   const Time now = Now();
-  const WaitingRequest waiting = {exchange, *kind, after, now + std::chrono::milliseconds(wait),
-                                  now};
+  const WaitingRequest waiting = {exchange, *kind,
+                                  after,    now + std::chrono::milliseconds(wait),
+                                  now,      QueryParameter(request.head_.target_, "era")};
   if (after == 0) return RespondWithEvents(waiting);
-  const auto events = EventsAfter(cache, after);
+  const auto events = EventsAfter(cache, StoreVersion{waiting.era_, after});
   if (!events || !events->empty() || wait == 0) return RespondWithEvents(waiting);
   waiting_.push_back(waiting);
   OnTimer();
@@ -218,8 +254,12 @@
   const RecordCache& cache = caches_.at(request.kind_);
   const Revision after = request.after_;
   CachedResponse& last = cached_responses_[request.kind_];
+  if (after != 0 && request.era_ != 0 && request.era_ != cache.era_) {
+    return RespondHistoryGone(request);
+  }
   // A record that was read again can have changed at the same revision.
-  if (last.after_ == after && last.revision_ == cache.revision_ && last.digest_ == cache.digest_) {
+  if (last.after_ == after && last.revision_ == cache.revision_ && last.digest_ == cache.digest_ &&
+      last.era_ == cache.era_) {
     return SendBody(request, last.body_);
   }
   Json records = Json::array();
@@ -227,19 +267,23 @@
     for (const auto& [name, record] : cache.records_) records.push_back(ToJson(record, false));
   } else {
     const auto events = EventsAfter(cache, after);
-    if (!events) {
-      return request.exchange_->Respond(kHistoryGoneStatus, {{"Content-Type", "text/plain"}},
-                                        "the history doesn't reach back that far");
-    }
+    if (!events) return RespondHistoryGone(request);
     for (const StoreEvent& event : *events) {
       records.push_back(ToJson(event.record_, event.deleted_));
     }
   }
-  last = {after, cache.revision_, cache.digest_,
+  last = {after, cache.revision_, cache.digest_, cache.era_,
           EncodeRecords(std::move(records), std::max(after, cache.revision_))};
   SendBody(request, last.body_);
 }
 
+void RecordServer::RespondHistoryGone(const WaitingRequest& request) {
+  request.exchange_->Respond(
+      kHistoryGoneStatus,
+      {{"Content-Type", "text/plain"}, {std::string(kEraHeader), FormatEras(caches_)}},
+      "the history doesn't reach back that far");
+}
+
 void RecordServer::SendBody(const WaitingRequest& request, const std::string& body) {
   // Rounded so that content that hosts pass on does not become younger.
   const auto age = std::chrono::ceil<std::chrono::milliseconds>(content_age_()).count();
@@ -249,6 +293,8 @@
                            {std::string(kAgeHeader), std::to_string(age)},
                            {std::string(kHeldHeader), std::to_string(held)},
                            {std::string(kContentsHeader), FormatContents(caches_)}};
+  const std::string eras = FormatEras(caches_);
+  if (!eras.empty()) headers.emplace_back(kEraHeader, eras);
   if (const auto proof_age = proof_age_()) {
     const auto proof_age_ms = std::chrono::ceil<std::chrono::milliseconds>(*proof_age).count();
     headers.emplace_back(kProofAgeHeader, std::to_string(proof_age_ms));
@@ -281,7 +327,8 @@
   std::list<WaitingRequest> due;
   for (auto item = waiting_.begin(); item != waiting_.end();) {
     const auto next = std::next(item);
-    const auto events = EventsAfter(caches_.at(item->kind_), item->after_);
+    const auto events =
+        EventsAfter(caches_.at(item->kind_), StoreVersion{item->era_, item->after_});
     if (item->kind_ == kind && (!events || !events->empty())) {
       due.splice(due.end(), waiting_, item);
     }
@@ -323,6 +370,7 @@
                  page.status_ = events.status_;
                  page.revision_ = events.revision_;
                  page.age_ = events.age_;
+                 page.era_ = events.era_;
                  page.proof_age_ = events.proof_age_;
                  page.contents_ = std::move(events.contents_);
                  for (StoreEvent& event : events.events_) {
@@ -337,7 +385,8 @@
   const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   const std::string path = std::string(kRecordsPath) + std::string(NameOf(kRecordKindNames, kind)) +
                            "?after=" + std::to_string(revision) +
-                           "&wait_ms=" + std::to_string(wait_ms);
+                           "&wait_ms=" + std::to_string(wait_ms) +
+                           (era_ == 0 ? "" : "&era=" + std::to_string(era_));
   client_.Cancel(watches_[kind]);
   watches_[kind] =
       client_.Call(http::FormatRequest("GET", path, {{"Host", host_}}, {}), true, timeout,
--- a/src/gateway/internal/record_exchange.h
+++ b/src/gateway/internal/record_exchange.h
@@ -16,7 +16,8 @@
 namespace monsoonshelf::gateway {
 
 // Exchange of records between entry hosts over HTTP. GET /records/KIND lists all records of a kind;
-// with `after` (a revision) and `wait_ms`, the request waits for changes. Each response states how
+// with `after` (a revision), `era` and `wait_ms`, the request waits for changes; it gets 410 if the
+// records are of another era. Each response states the era of the records, and how
 // long ago the store confirmed its content, and how long the request waited: the rest of the time
 // that the request took is added to the age.
 
@@ -50,15 +51,18 @@
     Revision after_ = 0;
     Time deadline_{};
     Time received_at_{};
+    Era era_ = 0;  // That `after_` belongs to; 0 if a host of an earlier version asks.
   };
   // The last response of a kind, which is reused for followers that wait after the same revision.
   struct CachedResponse {
     Revision after_ = -1;
     Revision revision_ = -1;
     ContentDigest digest_ = 0;
+    Era era_ = 0;
     std::string body_;
   };
   void RespondWithEvents(const WaitingRequest& request);
+  void RespondHistoryGone(const WaitingRequest& request);
   void SendBody(const WaitingRequest& request, const std::string& body);
   void OnTimer();
 
@@ -79,6 +83,7 @@
             PageCallback callback) override;
   void Watch(RecordKind kind, Revision revision, Duration wait, Duration timeout,
              EventsCallback callback) override;
+  void SetEra(Era era) override { era_ = era; }
   void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) override;
   void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                    WriteCallback callback) override;
@@ -87,6 +92,7 @@
   const IRecordFormat& format_;
   std::string host_;
   http::HttpClient client_;
+  Era era_ = 0;
   std::map<RecordKind, http::HttpClient::CallId> watches_;
 };
 
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -30,12 +30,14 @@
 }
 
 void RecordFeed::Pause() {
+  is_paused_ = true;
   ++generation_;
   is_second_call_ = false;
   timer_.Clear();
 }
 
 void RecordFeed::Restart() {
+  is_paused_ = false;
   ++generation_;
   is_second_call_ = false;
   retry_delay_ = settings_.min_retry_delay_;
@@ -47,6 +49,26 @@
   consistency_ = Consistency::kLatest;
 }
 
+void RecordFeed::BeginEra() {
+  revision_ = 0;
+  listed_revision_ = 0;
+  history_gone_ = false;
+  RequestList();
+  if (!is_paused_) Restart();
+}
+
+bool RecordFeed::AcceptEra(Era era) {
+  const std::uint64_t generation = generation_;
+  if (handler_.on_era_ == nullptr || handler_.on_era_(era)) return true;
+  // The handler has begun a new era, or the response is of an earlier one.
+  if (generation == generation_) {
+    is_second_call_ = false;
+    RequestList();
+    ScheduleRetry();
+  }
+  return false;
+}
+
 void RecordFeed::ListOrWatch() {
   timer_.Clear();
   if (needs_list_) {
@@ -69,6 +91,7 @@
 }
 
 void RecordFeed::OnPage(StorePage page) {
+  if (!AcceptEra(page.era_)) return;
   const bool was_second_call = std::exchange(is_second_call_, false);
   if (page.status_ != StoreStatus::kOk) {
     // After a failed watch the content may still be continued from its revision.
@@ -148,6 +171,7 @@
 }
 
 void RecordFeed::OnEvents(const StoreEvents& events) {
+  if (!AcceptEra(events.era_)) return;
   if (events.status_ == StoreStatus::kHistoryGone) {
     logging::LogEvent(logging::LogLevel::kWarning, "history_gone",
                       {{"kind", std::string(NameOf(kRecordKindNames, kind_))},
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -64,7 +64,8 @@
           kind == RecordKind::kConfiguration
               ? std::function<void()>([this] { RestartTargetAndEvacuationFeeds(); })
               : nullptr,
-          [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); }};
+          [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); },
+          [this](Era era) { return OnEra(era, source_.empty()); }};
 }
 
 std::optional<Duration> StoreSync::ProofAge() const {
@@ -82,6 +83,7 @@
     next_host_list_ = now + (hosts_.empty() ? kSecondHostListInterval : kHostListInterval);
     ListHosts({});
   }
+  EndHolds(now);
   zone_ = zone;
   ProbeWhileFollowing(now);
   CheckContentAge(now);
@@ -156,6 +158,8 @@
     // At another revision, changes are still on their way.
     if (other == contents.end() || other->second.revision_ != caches_[kind].revision_) continue;
     if (HasContent(caches_[kind], kind, contents)) continue;
+    // A revision of another era; the watch of the kind reports that.
+    if (other->second.era_ != 0 && other->second.era_ != caches_[kind].era_) continue;
     ReportDifference(kind, other->second);
     Feed(kind).RequestList();
     Feed(kind).Restart();
@@ -183,6 +187,13 @@
                     {{"kind", KindName(kind)},
                      {"count", std::to_string(records.size())},
                      {"revision", std::to_string(revision)}});
+  ApplyRecords(kind, RecordsInForce(kind, records));
+  ReplaceRecords(caches_[kind], records, revision, era_.era_);
+  server_.OnRecordsChanged(kind);
+  on_change_();
+}
+
+void StoreSync::ApplyRecords(RecordKind kind, const std::vector<StoredRecord>& records) {
   std::set<std::string> present;
   for (const StoredRecord& record : records) present.insert(record.name_);
   if (kind == RecordKind::kTarget) {
@@ -198,14 +209,12 @@
   }
   for (const StoredRecord& record : records) PutRecord(kind, record);
   if (kind == RecordKind::kTarget) state_.has_target_list_ = true;
-  ReplaceRecords(caches_[kind], records, revision);
-  server_.OnRecordsChanged(kind);
-  on_change_();
 }
 
 void StoreSync::OnEvents(RecordKind kind, const std::vector<StoreEvent>& events,
                          Revision revision) {
-  for (const StoreEvent& event : events) {
+  for (const StoreEvent& written : events) {
+    const StoreEvent event = EventInForce(kind, written);
     if (event.deleted_) {
       DeleteRecord(kind, event.record_.name_);
     } else {
@@ -263,6 +272,7 @@
 void StoreSync::DeleteRecord(RecordKind kind, const std::string& name) {
   if (kind == RecordKind::kEvacuation) {
     if (state_.evacuated_zones_.erase(name) > 0) {
+      AddDeparture(departures_, kind, {name, 0, EvacuatedZone{name}, {}, {}}, Now());
       logging::LogEvent(logging::LogLevel::kInfo, "zone_taken_back", {{"name", name}});
     }
     return;
@@ -271,8 +281,13 @@
   const auto found = state_.targets_.find(name);
   if (found == state_.targets_.end()) return;
   const Time now = Now();
-  const bool was_store_lost = is_lost_ || now - regained_at_ < kRemovalGrace;
-  if (!was_store_lost || found->second->record_.draining_) return RemoveTarget(state_, name);
+  // The copy from which a store was restored has registrations that expire at once.
+  const bool was_store_lost =
+      is_lost_ || now - regained_at_ < kRemovalGrace || holds_.contains(kind);
+  if (!was_store_lost || found->second->record_.draining_) {
+    AddDeparture(departures_, kind, {name, 0, found->second->record_, {}, {}}, now);
+    return RemoveTarget(state_, name);
+  }
   // The registration may have expired because the target could not renew it.
   if (found->second->remove_at_ != Time::max()) return;
   found->second->remove_at_ = std::max(now, regained_at_) + kRemovalGrace;
@@ -282,7 +297,9 @@
 void StoreSync::ApplyConfiguration(const Configuration& configuration) {
   const std::int64_t present =
       state_.configuration_ ? state_.configuration_->configuration_.version_ : -1;
-  if (configuration.version_ <= present) return;
+  if (!ReplacesConfiguration(present, configuration_era_, configuration.version_, era_.era_))
+    return;
+  configuration_era_ = era_.era_;
   auto active = std::make_shared<ActiveConfiguration>();
   active->configuration_ = configuration;
   active->routes_ = MakeRouteTable(active->configuration_);
@@ -375,9 +392,12 @@
 void StoreSync::OnHostRegistered(const StoreWrite& write) {
   state_.metrics_.CountStoreCall(KindName(RecordKind::kHost),
                                  NameOf(kStoreStatusNames, write.status_));
+  // A write of an earlier era is lost, and the revision that it returned names another object.
+  if (!OnEra(write.era_, true)) return;
   switch (write.status_) {
     case StoreStatus::kOk:
       is_registered_ = true;
+      ReportRegistrationChecked(true);
       if (next_host_list_ == Time::max()) next_host_list_ = Now();
       logging::LogEvent(logging::LogLevel::kInfo, "host_registered",
                         {{"revision", std::to_string(write.revision_)}});
@@ -406,12 +426,17 @@
   is_registered_ = record.zone_ == self_.zone_ && record.front_address_ == self_.front_address_ &&
                    record.peer_address_ == self_.peer_address_ &&
                    record.control_address_ == self_.control_address_;
+  if (is_registered_) ReportRegistrationChecked(false);
 }
 
 void StoreSync::ListHosts(const std::string& after) {
   store_.List(RecordKind::kHost, after, Consistency::kStale, kWriteTimeout, [this](StorePage page) {
     state_.metrics_.CountStoreCall(KindName(RecordKind::kHost),
                                    NameOf(kStoreStatusNames, page.status_));
+    if (!OnEra(page.era_, true)) {
+      next_host_list_ = std::min(next_host_list_, Now() + kSecondHostListInterval);
+      return;
+    }
     if (page.status_ != StoreStatus::kOk) {
       next_host_list_ = Now() + kSecondHostListInterval;
       return;
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/record_exchange.h"
 #include "gateway/reader_choice.h"
 #include "gateway/record_feed.h"
+#include "gateway/store_era.h"
 #include "gateway/store_gate.h"
 
 namespace monsoonshelf::gateway {
@@ -128,6 +129,22 @@
   void OnOwnHostRecord(const HostRecord& record, Revision revision);
   void ListHosts(const std::string& after);
 
+  // Applies the era of a response. Returns whether the response may be used.
+  bool OnEra(Era era, bool is_from_store);
+  void ReportIgnoredEra(Era era, Time now);
+  // Reads everything anew, and holds over what is in force, after the era has changed.
+  void BeginEra(Time now);
+  // Returns the records that are in force when the source lists these.
+  std::vector<StoredRecord> RecordsInForce(RecordKind kind,
+                                           const std::vector<StoredRecord>& records);
+  StoreEvent EventInForce(RecordKind kind, const StoreEvent& event);
+  // Lets the records of the source alone be in force after the time to hold others over.
+  void EndHolds(Time now);
+  // Reports what became of the registration of this host after a change of the era.
+  void ReportRegistrationChecked(bool is_written);
+  // Applies all records of a kind that are in force.
+  void ApplyRecords(RecordKind kind, const std::vector<StoredRecord>& records);
+
   CountedStore store_;
   const IRecordFormat& format_;
   GatewayState& state_;
@@ -186,6 +203,13 @@
   bool is_registered_ = false;
   Time next_registration_{};
   Time next_host_list_{};
+
+  EraTracker era_;
+  std::map<RecordKind, EraHold> holds_;
+  Departures departures_;
+  Era configuration_era_ = 0;             // In which the configuration in effect was applied.
+  bool is_registration_checked_ = false;  // The era has changed, and the registration may be lost.
+  Time era_ignored_reported_at_{};
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/store_sync_source.cc
+++ b/src/gateway/internal/store_sync_source.cc
@@ -220,6 +220,7 @@
     return;
   }
   peer_store_ = std::make_unique<PeerRecordStore>(*parsed, format_);
+  peer_store_->SetEra(era_.era_);
   configuration_feed_.ReadFrom(*peer_store_, kPeerConfigurationFeed);
   target_feed_.ReadFrom(*peer_store_, kPeerFeed);
   evacuation_feed_.ReadFrom(*peer_store_, kPeerFeed);
@@ -242,7 +243,10 @@
 void StoreSync::ProbeStore(Time now) {
   last_probe_ = now;
   store_.List(RecordKind::kEvacuation, {}, Consistency::kStale, kProbeTimeout,
-              [this, now](const StorePage& page) { OnProbeEnded(page.status_, now, Now()); });
+              [this, now](const StorePage& page) {
+                OnEra(page.era_, true);
+                OnProbeEnded(page.status_, now, Now());
+              });
 }
 
 void StoreSync::OnProbeEnded(StoreStatus status, Time sent_at, Time now) {
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -37,11 +37,23 @@
 // old.
 enum class Consistency { kLatest, kStale };
 
+// Rises each time the store is restored from a copy, after which it reissues revisions. 0 if the
+// store, or a host of an earlier version, does not state it.
+using Era = std::int64_t;
+
+// A point in the history of the store, ordered by era and then by revision.
+struct StoreVersion {
+  Era era_ = 0;
+  Revision revision_ = 0;
+  auto operator<=>(const StoreVersion&) const = default;
+};
+
 // Identifies the content that a host holds of one kind; see RecordCache.
 using ContentDigest = std::uint64_t;
 struct ContentVersion {
   Revision revision_ = 0;
   ContentDigest digest_ = 0;
+  Era era_ = 0;
 };
 using ContentVersions = std::map<RecordKind, ContentVersion>;
 
@@ -58,6 +70,7 @@
   bool is_stale_ = false;
   // Content of the host that passed the page on; empty if the page comes from the store itself.
   ContentVersions contents_;
+  Era era_ = 0;  // Also of responses with other states than kOk.
 };
 
 struct StoreEvent {
@@ -72,11 +85,13 @@
   Duration age_{};                     // As in StorePage.
   std::optional<Duration> proof_age_;  // As in StorePage.
   ContentVersions contents_;           // As in StorePage.
+  Era era_ = 0;                        // As in StorePage.
 };
 
 struct StoreWrite {
   StoreStatus status_ = StoreStatus::kUnreachable;
   Revision revision_ = 0;  // Revision of the written object, or with kConflict of the existing one.
+  Era era_ = 0;            // As in StorePage.
 };
 
 // Asynchronous client of the store that holds the records. Each call, except a replaced Watch,
@@ -97,6 +112,8 @@
   // pending one, whose callback is then not called.
   virtual void Watch(RecordKind kind, Revision revision, Duration wait, Duration timeout,
                      EventsCallback callback) = 0;
+  // States the era that the revisions of the following watches belong to.
+  virtual void SetEra(Era /*era*/) {}
   // Returns kConflict if the host is already registered.
   virtual void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) = 0;
   // Replaces the registration if its revision is `expected`; otherwise returns kConflict.
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -60,6 +60,9 @@
     std::function<void()> on_gap_;
     // Receives the revision up to which the source has confirmed the content. May be empty.
     std::function<void(Revision)> on_confirmed_;
+    // Receives the era of each response before the response is applied, and returns whether that
+    // may be done. Otherwise the records are listed. It may call BeginEra. May be empty.
+    std::function<bool(Era)> on_era_;
   };
 
   RecordFeed(RecordKind kind, Handler handler);
@@ -73,6 +76,9 @@
   void Restart();
   // Lists the latest records instead of starting the next watch. May be called by the handler.
   void RequestList();
+  // The revisions of the store begin anew: abandons pending calls and lists the latest records,
+  // unless the feed is paused.
+  void BeginEra();
   // Returns whether all records were listed at least once.
   bool HasSnapshot() const { return has_snapshot_; }
   Revision CurrentRevision() const { return revision_; }
@@ -95,6 +101,8 @@
   bool HasContentOf(const ContentVersions& contents) const;
   void Confirm(Duration age, std::optional<Duration> proof_age);
   void ReportGap();
+  // Returns whether a response of this era may be used.
+  bool AcceptEra(Era era);
 
   IRecordStore* store_ = nullptr;
   RecordKind kind_;
@@ -102,6 +110,7 @@
   FeedSettings settings_;
   eventloop::Timer timer_;
   bool has_snapshot_ = false;
+  bool is_paused_ = true;
   bool needs_list_ = true;
   bool is_second_call_ = false;  // The last watch failed, and its failure is not reported yet.
   bool is_after_failed_watch_ = false;  // A list has replaced a failed watch; none succeeded since.
--- a/src/gateway/tests/large_zone_test.cc
+++ b/src/gateway/tests/large_zone_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(StartOfAllHostsMakesFewReadTheStore);
   CPPUNIT_TEST(ShortOutageMakesFewHostsReadTheStore);
   CPPUNIT_TEST(CompactionMakesFewHostsReadTheStore);
+  CPPUNIT_TEST(RestoreFromACopyMakesFewHostsReadTheStore);
   CPPUNIT_TEST(ResetWatchesKeepTheReader);
   CPPUNIT_TEST(HostOfLowRankReturnsInTimeDespiteLostCalls);
   CPPUNIT_TEST(RejectedHostsFindAHostThatTheStoreServes);
@@ -127,6 +128,35 @@
     ExpectFewReaders();
   }
 
+  // Guards against hosts that all read the store, or write their registrations although the store
+  // has them, after it was restored from a copy.
+  void RestoreFromACopyMakesFewHostsReadTheStore() {
+    // All hosts have learned the first era and checked their registrations.
+    zone_->store_.era_ = 1;
+    zone_->loop_.RunFor(milliseconds(6000));
+    zone_->store_.MakeCopy();
+    zone_->WaitForChange(*zone_->hosts_.back());
+    CountReads();
+    std::vector<int> other_calls;
+    int writes = 0;
+    for (const auto& host : zone_->hosts_) {
+      other_calls.push_back(host->view_.calls_ - host->view_.reads_);
+      writes -= host->view_.writes_;
+    }
+    zone_->store_.RestoreCopy();
+    ExpectChangeInTime({});
+    zone_->loop_.RunFor(milliseconds(5000));
+    ExpectFewReaders();
+    for (std::size_t i = 0; i < zone_->hosts_.size(); ++i) {
+      const SharedStore::View& view = zone_->hosts_[i]->view_;
+      writes += view.writes_;
+      const int stale_lists = view.calls_ - view.reads_ - other_calls[i];
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(stale_lists) + " stale lists of one host",
+                             stale_lists >= 1 && stale_lists <= 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, writes);
+  }
+
   // Guards against a reader that gives up its role, and against a zone that looks for another one,
   // after a single reset of its connections to the store.
   void ResetWatchesKeepTheReader() {
--- a/src/gateway/tests/mocks/mock_record_store.h
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -38,6 +38,15 @@
     changes_.push_back({kind, {record, true}});
     EndChangedWatches();
   }
+  // Goes back to the content at the time of MakeCopy, in the next era. Waiting watches remain and
+  // continue at their revision, which is then reissued.
+  void MakeCopy() { copy_ = {records_, revision_, changes_}; }
+  void RestoreCopy() {
+    records_ = copy_.records_;
+    revision_ = copy_.revision_;
+    changes_ = copy_.changes_;
+    ++era_;
+  }
   // Discards all history without ending watches.
   void Compact() { history_begin_ = revision_; }
   // Ends the waiting watches that have changes or an error to return.
@@ -67,6 +76,7 @@
     list_calls_.push_back({kind, consistency});
     StorePage page;
     page.status_ = status_;
+    page.era_ = era_;
     page.is_stale_ = consistency == Consistency::kStale;
     if (status_ == StoreStatus::kOk) {
       const auto& source =
@@ -96,17 +106,17 @@
     if (status_ != StoreStatus::kOk) return Reply(std::move(callback), StoreWrite{status_, 0});
     if (records_[RecordKind::kHost].contains(host.name_)) {
       const Revision present = records_[RecordKind::kHost][host.name_].revision_;
-      return Reply(std::move(callback), StoreWrite{StoreStatus::kConflict, present});
+      return Reply(std::move(callback), StoreWrite{StoreStatus::kConflict, present, era_});
     }
     Put(RecordKind::kHost, {host.name_, 0, host, {}, {}});
-    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_});
+    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_, era_});
   }
   void ReplaceHost(const HostRecord& host, Revision /*expected*/, Duration /*timeout*/,
                    WriteCallback callback) override {
     ++write_calls_;
     if (status_ != StoreStatus::kOk) return Reply(std::move(callback), StoreWrite{status_, 0});
     Put(RecordKind::kHost, {host.name_, 0, host, {}, {}});
-    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_});
+    Reply(std::move(callback), StoreWrite{StoreStatus::kOk, revision_, era_});
   }
 
   using Records = std::map<RecordKind, std::map<std::string, StoredRecord>>;
@@ -121,6 +131,7 @@
   std::vector<ListCall> list_calls_;
   int watch_calls_ = 0;
   int write_calls_ = 0;
+  Era era_ = 0;  // Unknown unless a test sets it.
 
  private:
   struct WaitingWatch {
@@ -131,8 +142,9 @@
   StoreEvents EventsFor(RecordKind kind, Revision after) const {
     StoreEvents events;
     events.status_ = status_ == StoreStatus::kOk ? watch_status_ : status_;
+    events.era_ = era_;
     if (events.status_ != StoreStatus::kOk) return events;
-    if (after < history_begin_) {
+    if (after < history_begin_ || (era_ > 1 && after > revision_)) {
       events.status_ = StoreStatus::kHistoryGone;
       return events;
     }
@@ -169,7 +181,14 @@
     g_source_unref(source);
   }
 
+  struct Copy {
+    Records records_;
+    Revision revision_ = 1;
+    std::deque<std::pair<RecordKind, StoreEvent>> changes_;
+  };
+
   std::deque<std::pair<RecordKind, StoreEvent>> changes_;
+  Copy copy_;
   std::vector<std::pair<RecordKind, WaitingWatch>> watches_;
 };
 
--- a/src/gateway/tests/mocks/shared_store.h
+++ b/src/gateway/tests/mocks/shared_store.h
@@ -60,6 +60,7 @@
       Add(kind, -1, Duration(0), timeout, [this, kind, consistency, callback](StoreStatus status) {
         StorePage page;
         page.status_ = status;
+        page.era_ = status == StoreStatus::kUnreachable ? 0 : store_.era_;
         page.is_stale_ = consistency == Consistency::kStale;
         if (status == StoreStatus::kOk) {
           for (const auto& [name, record] : store_.records_[kind]) page.records_.push_back(record);
@@ -76,7 +77,8 @@
       Add(kind, revision, wait, timeout, [this, kind, revision, callback](StoreStatus status) {
         StoreEvents events;
         events.status_ = status;
-        if (status == StoreStatus::kOk && revision < store_.history_begin_) {
+        events.era_ = status == StoreStatus::kUnreachable ? 0 : store_.era_;
+        if (status == StoreStatus::kOk && !store_.HasHistoryAfter(revision)) {
           events.status_ = StoreStatus::kHistoryGone;
         } else if (status == StoreStatus::kOk) {
           events.revision_ = store_.revision_;
@@ -86,11 +88,12 @@
       });
     }
     void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) override {
+      ++writes_;
       Add(RecordKind::kHost, -1, Duration(0), timeout, [this, host, callback](StoreStatus status) {
         if (status == StoreStatus::kOk) {
           store_.Put(RecordKind::kHost, {host.name_, 0, host, {}, host.name_});
         }
-        callback({status, store_.revision_});
+        callback({status, store_.revision_, store_.era_});
       });
     }
     void ReplaceHost(const HostRecord& host, Revision /*expected*/, Duration timeout,
@@ -99,6 +102,7 @@
     }
 
     int calls_ = 0;
+    int writes_ = 0;
     int reads_ = 0;          // Watches and latest lists, without stale lists.
     int calls_to_lose_ = 0;  // The next calls that get no response, as on a dead connection.
 
@@ -157,7 +161,7 @@
       if (access_ == Access::kSilent || call.is_lost_) return call.timeout_at_;
       if (store_.are_watches_silent_ && call.after_ >= 0) return call.timeout_at_;
       if (access_ == Access::kServed && call.after_ >= 0 &&
-          (call.after_ < store_.history_begin_ ||
+          (!store_.HasHistoryAfter(call.after_) ||
            !store_.EventsAfter(call.kind_, call.after_).empty())) {
         return Time{};
       }
@@ -198,6 +202,21 @@
     for (const auto& view : views_) view->SetTimer();
   }
 
+  // Goes back to the content at the time of MakeCopy, in the next era, and reissues its revisions.
+  // Connections stay open.
+  void MakeCopy() { copy_ = {records_, changes_, revision_}; }
+  void RestoreCopy() {
+    records_ = copy_.records_;
+    changes_ = copy_.changes_;
+    revision_ = copy_.revision_;
+    ++era_;
+    for (const auto& view : views_) view->SetTimer();
+  }
+  bool HasHost(const std::string& name) const {
+    const auto hosts = records_.find(RecordKind::kHost);
+    return hosts != records_.end() && hosts->second.contains(name);
+  }
+
   View& AddView() {
     views_.push_back(std::make_unique<View>(*this));
     return *views_.back();
@@ -210,8 +229,12 @@
   }
 
   std::vector<Read> reads_;
+  Era era_ = 0;  // Unknown unless a test sets it.
 
  private:
+  bool HasHistoryAfter(Revision revision) const {
+    return revision >= history_begin_ && (era_ <= 1 || revision <= revision_);
+  }
   std::vector<StoreEvent> EventsAfter(RecordKind kind, Revision revision) const {
     std::vector<StoreEvent> events;
     for (const auto& [changed, event] : changes_) {
@@ -220,6 +243,13 @@
     return events;
   }
 
+  struct Copy {
+    std::map<RecordKind, std::map<std::string, StoredRecord>> records_;
+    std::vector<std::pair<RecordKind, StoreEvent>> changes_;
+    Revision revision_ = 1;
+  };
+
+  Copy copy_;
   std::map<RecordKind, std::map<std::string, StoredRecord>> records_;
   std::vector<std::pair<RecordKind, StoreEvent>> changes_;
   Revision revision_ = 1;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -38,6 +38,8 @@
 constexpr Duration kStallTime = milliseconds(50);
 constexpr Duration kStartTime = seconds(2);
 constexpr Duration kRecoveryTime = seconds(6);
+// Time after a restore of the store in which the operator and the targets write again.
+constexpr int kMaxWriteAgainMs = 2000;
 // Share of the requests sent after the recovery time that must be answered.
 constexpr double kMinAnsweredShare = 0.9;
 
@@ -57,7 +59,8 @@
 // guarantees from what callers and targets observe.
 class Soak {
  public:
-  explicit Soak(SoakOptions options) : options_(std::move(options)), random_(options_.seed_) {
+  explicit Soak(SoakOptions options)
+      : options_(std::move(options)), random_(options_.seed_), restore_random_(options_.seed_) {
     WriteConfiguration();
     for (int zone = 0; zone < kZones; ++zone) {
       const std::string name = "z" + std::to_string(zone);
@@ -139,6 +142,7 @@
       if (now - last >= kStallTime) results_.stalled_ += now - last;
       if (g_main_context_iteration(nullptr, FALSE) == FALSE) g_usleep(300);
       RunDueSignals();
+      if (now >= write_again_at_) WriteAgain();
       // The signal has to arrive within the first millisecond in which the process listens.
       for (const auto& host : hosts_) host->CheckListening();
       if (++loop_iterations_ % 64 != 0) continue;
@@ -217,8 +221,26 @@
   Host& RandomHost() { return *hosts_[random_() % hosts_.size()]; }
   Target& RandomTarget() { return *targets_[random_() % targets_.size()]; }
 
+  // Goes back to a copy of the store at times. Draws nothing from the random numbers that choose
+  // the events of a seed.
+  void RestoreStoreAtTimes() {
+    constexpr unsigned kFaultsPerRestore = 12;
+    constexpr int kMaxCopyAgeMs = 5000;
+    if (restore_random_() % kFaultsPerRestore != 0) return;
+    store_.RestoreFromCopy(milliseconds(restore_random_() % kMaxCopyAgeMs));
+    write_again_at_ = Now() + milliseconds(restore_random_() % kMaxWriteAgainMs);
+  }
+
+  // The operator and the targets write again what the store may have lost.
+  void WriteAgain() {
+    write_again_at_ = Time::max();
+    WriteConfiguration();
+    for (const auto& target : targets_) target->RegisterAgain();
+  }
+
   void InjectFault() {
     ++faults_;
+    RestoreStoreAtTimes();
     switch (random_() % 14) {
       case 0:
         return RandomHost().Signal(SIGTERM);
@@ -256,6 +278,7 @@
   // the change is in effect.
   void EndFaults() {
     store_.SetUnavailable(false);
+    if (write_again_at_ != Time::max()) WriteAgain();
     for (const auto& host : hosts_) {
       host->Resume();
       host->StoreProxy().SetState(LinkState::kHealthy);
@@ -331,6 +354,8 @@
 
   SoakOptions options_;
   std::mt19937_64 random_;
+  std::mt19937_64 restore_random_;
+  Time write_again_at_ = Time::max();
   Store store_;
   SoakResults results_;
   std::vector<std::unique_ptr<Target>> targets_;
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -17,9 +17,8 @@
   return at == std::string::npos ? -1 : std::atoll(target.c_str() + at + name.size() + 1);
 }
 
-void Respond(const http::ServerExchangePtr& exchange, int status, const nlohmann::json& body) {
-  exchange->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
-}
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxCopies = 20;
 
 }  // namespace
 
@@ -32,6 +31,30 @@
   timer_.Set(Now() + kWatchCheckInterval);
 }
 
+void Store::Respond(const http::ServerExchangePtr& exchange, int status, const Json& body) const {
+  exchange->Respond(status,
+                    {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}},
+                    body.dump());
+}
+
+void Store::TakeCopy() {
+  if (!copies_.empty() && Now() - copies_.back().taken_at_ < kCopyInterval) return;
+  copies_.push_back({Now(), objects_, changes_, revision_, compacted_revision_});
+  if (copies_.size() > kMaxCopies) copies_.pop_front();
+}
+
+void Store::RestoreFromCopy(Duration age) {
+  // The oldest copy is used if none is old enough.
+  while (copies_.size() > 1 && Now() - copies_.back().taken_at_ < age) copies_.pop_back();
+  if (copies_.empty()) return;
+  const Copy& copy = copies_.back();
+  objects_ = copy.objects_;
+  changes_ = copy.changes_;
+  revision_ = copy.revision_;
+  compacted_revision_ = copy.compacted_revision_;
+  ++era_;
+}
+
 void Store::Put(const std::string& kind, const std::string& name, const Json& spec) {
   ++revision_;
   Json object = {{"metadata", {{"name", name}, {"resourceVersion", revision_}}}, {"spec", spec}};
@@ -72,7 +95,7 @@
 }
 
 bool Store::AnswerWatch(const PendingWatch& watch, bool timed_out) {
-  if (watch.after_revision_ < compacted_revision_) {
+  if (watch.after_revision_ < compacted_revision_ || watch.after_revision_ > revision_) {
     // The dropped history is reported at once to a new watch, but to a pending one only at its
     // timeout.
     if (!timed_out && watch.deadline_ - Now() < std::chrono::milliseconds(1)) return false;
@@ -103,6 +126,7 @@
 
 void Store::AnswerWatches() {
   const Time now = Now();
+  TakeCopy();
   std::erase_if(pending_watches_, [this, now](const PendingWatch& item) {
     if (item.after_revision_ < compacted_revision_ && item.deadline_ > now) return false;
     return AnswerWatch(item, item.deadline_ <= now);
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -26,6 +26,9 @@
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
   // Drops all history. Pending watches get no answer before their timeout.
   void Compact() { compacted_revision_ = revision_; }
+  // Goes back to the content that the store had `age` ago, in the next era, and reissues the
+  // revisions since then. Pending watches of a revision that it does not have get 410.
+  void RestoreFromCopy(Duration age);
 
  private:
   using Json = nlohmann::json;
@@ -42,6 +45,18 @@
     bool deleted_ = false;
   };
 
+  using Objects = std::map<std::string, std::map<std::string, Json>>;
+  struct Copy {
+    Time taken_at_{};
+    Objects objects_;
+    std::deque<Change> changes_;
+    std::int64_t revision_ = 1;
+    std::int64_t compacted_revision_ = 0;
+  };
+
+  void Respond(const http::ServerExchangePtr& exchange, int status, const Json& body) const;
+  // Keeps a copy of the content for RestoreFromCopy, and those of the last seconds.
+  void TakeCopy();
   void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override;
   void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override;
   void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
@@ -57,7 +72,9 @@
 
   http::ServerConnections connections_;
   std::unique_ptr<http::Listener> listener_;
-  std::map<std::string, std::map<std::string, Json>> objects_;
+  Objects objects_;
+  std::deque<Copy> copies_;
+  std::int64_t era_ = 1;
   std::deque<Change> changes_;
   std::list<PendingWatch> pending_watches_;
   std::int64_t revision_ = 1;
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -75,6 +75,8 @@
 
   // Writes the registration of the target with the state "draining" or "ready".
   void Register(bool draining);
+  // Writes the registration that the store may have lost.
+  void RegisterAgain() { Register(draining_); }
   // Unplanned faults, until EndFaults or for a moment.
   void SetMode(TargetMode mode);
   void SetLinkState(LinkState state);
