--- a/src/gateway/internal/store_sync_era.cc
+++ b/src/gateway/internal/store_sync_era.cc
@@ -62,6 +62,7 @@
     const auto earlier = holds_.find(kind);
     if (earlier != holds_.end()) {
       std::vector<StoredRecord> listed;
+      listed.reserve(in_force.size());
       for (const auto& [name, record] : in_force) listed.push_back(record);
       HoldCounts counts;
       in_force.clear();
@@ -113,6 +114,7 @@
     if (hold == holds_.end() || !HasEnded(hold->second, now)) continue;
     std::vector<StoredRecord> records;
     std::size_t dropped = 0;
+    records.reserve(caches_[kind].records_.size());
     for (const auto& [name, record] : caches_[kind].records_) records.push_back(record);
     for (const auto& [name, record] : hold->second.present_) {
       if (!caches_[kind].records_.contains(name)) ++dropped;
