--- a/src/gateway/tests/rollout_test.cc
+++ b/src/gateway/tests/rollout_test.cc
@@ -129,6 +129,12 @@
       return request.is_new_ && request.route_ == 2 ? Effect{0.35, 1} : Effect{};
     };
     ExpectCondemned(load);
+    // Too few of all responses to show among them.
+    load.routes_ = 20;
+    load.effect_ = [](const Request& request) {
+      return request.is_new_ && request.route_ == 2 ? Effect{0.6, 1} : Effect{};
+    };
+    ExpectCondemned(load);
   }
 
   // Guards against hosts of few requests that each expose one more than their share.
