--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -54,6 +54,7 @@
   // Returns `exit N` or `signal N`, or `running` if the process does not end in time.
   std::string WaitForEnd();
   std::string Log() const;
+  pid_t Pid() const { return pid_; }
   // Returns what a descriptor of the process refers to, as in /proc; empty if it is closed.
   std::string DescriptorTarget(int descriptor) const;
 
--- a/tests/process/settings_files.cc
+++ b/tests/process/settings_files.cc
@@ -10,13 +10,14 @@
 
 ServeSettings MakeServeSettings(const std::string& store_address) {
   const std::string front = FreeLoopbackAddress();
+  const std::string readiness = FreeLoopbackAddress();
   return {
       "nodeName = \"host-1\"\nip = \"127.0.0.1\"\nzone = \"zone-1\"\nregion = \"r\"\n"
       "portRange = [" +
           std::to_string(soak::FreePort()) + ", 0]\nbounds = [\"graceS=4\"]\n[bind]\nfront = \"" +
-          front + "\"\nreadiness = \"" + FreeLoopbackAddress() + "\"\n[platform]\naddress = \"" +
+          front + "\"\nreadiness = \"" + readiness + "\"\n[platform]\naddress = \"" +
           store_address + "\"\n",
-      front};
+      front, readiness};
 }
 
 std::string MakeRunSettings(const std::string& metrics_address) {
--- a/tests/process/settings_files.h
+++ b/tests/process/settings_files.h
@@ -8,6 +8,7 @@
 struct ServeSettings {
   std::string text_;
   std::string front_address_;
+  std::string readiness_address_;
 };
 
 ServeSettings MakeServeSettings(const std::string& store_address);
