http, gateway: memory and descriptors that callers can occupy are bounded

Cause: bytes were counted for bodies only, and only until their request started; a header of 16 KB made of fields `a:` holds 270 KB; responses to pipelined requests were buffered without a limit, buffers kept their capacity, finished calls were kept until the next tick, the ports for queries had no limit of their own, and nothing limited connections.

Change: one account of the bytes held by the connections of all listeners, with a third of limits.memoryMb as its limit; above it connections are closed in the order of http/memory_pressure.h. At most 1,000 fields a request (431), no further pipelined request while 1 MB of responses waits, a time limit for reading a response, released buffers. The body is dropped at the last allowed send and not copied to the output buffer. Connections of each port are limited by limits.maxFds, idle or stalled ones are replaced, and accepting pauses at the limit or without a free descriptor.

--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -1,6 +1,7 @@
 #include "app/internal/serve_command.h"
 
 #include <glib-unix.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <iostream>
@@ -38,6 +39,9 @@
   std::string settings_text_;
   int metrics_port_ = 0;
   std::optional<double> max_hedge_share_;
+  int body_timeout_ms_ = 0;
+  int response_timeout_ms_ = 0;
+  int max_fields_ = 0;
   platform::CallFormat call_format_;
   platform::RecordFormat record_format_;
   std::unique_ptr<platform::ObjectStore> store_;
@@ -57,6 +61,9 @@
     }
   }
   settings.max_hedge_share_ = host.max_hedge_share_;
+  settings.body_timeout_ = std::chrono::milliseconds(host.body_timeout_ms_);
+  settings.response_timeout_ = std::chrono::milliseconds(host.response_timeout_ms_);
+  settings.max_fields_ = static_cast<std::size_t>(host.max_fields_);
   return settings;
 }
 
@@ -104,6 +111,23 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+Result<int> ReadLimit(const options::variables_map& values, const char* name, int min, int max) {
+  const int value = values[name].as<int>();
+  if (value < min || value > max) {
+    return Fail(ResultCode::kUsage, std::string("--") + name + " is " + std::to_string(value) +
+                                        ", allowed: " + std::to_string(min) + " to " +
+                                        std::to_string(max));
+  }
+  return value;
+}
+
+// Returns large buffers to the system when they are freed. By default the allocator raises this
+// threshold to the size of the largest freed buffer, so that the bodies of one burst stay resident.
+void ConfigureAllocator() {
+  constexpr int kMinMappedBytes = 512 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+}
+
 Result<int> Serve(ServingHost& host, const Arguments& arguments) {
   BOOST_LEAF_AUTO(values, ParseCommandLine(ServeOptions(), arguments, 0, 0));
   const bool check = values["check"].as<bool>();
@@ -127,6 +151,10 @@
           "--max-hedge-share is " + std::to_string(*host.max_hedge_share_) + ", allowed: 0 to 1");
     }
   }
+  BOOST_LEAF_ASSIGN(host.body_timeout_ms_, ReadLimit(values, "body-timeout-ms", 100, 3'600'000));
+  BOOST_LEAF_ASSIGN(host.response_timeout_ms_,
+                    ReadLimit(values, "response-timeout-ms", 100, 3'600'000));
+  BOOST_LEAF_ASSIGN(host.max_fields_, ReadLimit(values, "max-fields", 10, 1'000'000));
   BOOST_LEAF_ASSIGN(host.settings_path_, platform::SettingsPath());
   BOOST_LEAF_ASSIGN(host.settings_text_, ReadFile(host.settings_path_, kMaxSettingsBytes));
   BOOST_LEAF_AUTO(settings, ReadSettingsText(host, host.settings_text_));
@@ -140,6 +168,7 @@
                      {"zone", settings.zone_},
                      {"front", settings.front_address_},
                      {"store", settings.store_address_}});
+  ConfigureAllocator();
   host.loop_ = g_main_loop_new(nullptr, FALSE);
   host.store_ = std::make_unique<platform::ObjectStore>(*ParseAddress(settings.store_address_));
   const auto incarnation = static_cast<Incarnation>(WallMicroseconds());
@@ -173,6 +202,12 @@
       "max-hedge-share", options::value<double>(),
       "share of the requests of a service that may be sent to a second target while the first one "
       "is slow, 0 to 1; without it only the retry budget limits them")(
+      "body-timeout-ms", options::value<int>()->default_value(10'000),
+      "time between two reads of a request body after which the request gets 408")(
+      "response-timeout-ms", options::value<int>()->default_value(30'000),
+      "time without a byte accepted by a caller that has a response to read, after which its "
+      "connection is closed")("max-fields", options::value<int>()->default_value(1000),
+                              "maximum number of header fields of a request; more get 431")(
       "check", options::bool_switch(), "validate the settings file and exit");
   return description;
 }
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -159,6 +159,11 @@
   int capacity_ = 0;
   bool is_bootstrap_ = false;  // First start of the fleet: no host is registered.
   std::int64_t memory_bytes_ = std::int64_t{256} << 20;
+  int max_descriptors_ = 0;  // Of the process; 0: unknown, connections are not limited.
+  // See http::ServerLimits.
+  Duration body_timeout_ = std::chrono::seconds(10);
+  Duration response_timeout_ = std::chrono::seconds(30);
+  std::size_t max_fields_ = http::kMaxRequestFields;
   // Once the deadline of its request has passed, a streamed response is ended after this time in
   // which its target sent nothing. Covers the repetition of a lost packet.
   Duration target_stall_timeout_ = std::chrono::milliseconds(400);
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -359,6 +359,8 @@
   }
   PlanHedge(expected, now);
   attempt->Send(deadline_ - now);
+  // The last attempt: the request is never sent again.
+  if (send_count_ >= route_->max_attempts_) std::string().swap(request_.body_);
   SetTimer();
   return true;
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -57,8 +57,38 @@
 constexpr double kMaxConnectionMarginShare = 1.0 / 12;
 // Maximum number of entry hosts that are notified about a failed target.
 constexpr std::size_t kMaxFailureRecipients = 16;
-// Request bodies may use the memory limit divided by this number.
+// Request bodies that were not started may use the memory limit divided by this number.
 constexpr int kBodyMemoryShare = 4;
+// All that caller connections hold may use the memory limit divided by this number. The body of a
+// started request exists a second time while it is sent to its target; the rest is for the process.
+constexpr int kHeldMemoryShare = 3;
+// Descriptors that the platform reserves for files.
+constexpr int kFileDescriptors = 200;
+// The other descriptors divided by these numbers are the maximum number of connections to the
+// caller port, and to each of the four other ports. A quarter is left for targets, the store and
+// other hosts.
+constexpr int kCallerDescriptorShare = 2;
+constexpr int kQueryDescriptorShare = 16;
+// Minimum of these numbers.
+constexpr int kMinConnections = 8;
+// Maximum size of the body of a query; none has a body.
+constexpr std::uint64_t kMaxQueryBodyBytes = std::uint64_t{64} * 1024;
+// Interval between two log lines about rejected requests with the same reason.
+constexpr Duration kRejectionLogInterval = std::chrono::seconds(10);
+
+// Returns 0 if the number of descriptors is unknown.
+std::size_t MaxConnections(const GatewaySettings& settings, int share) {
+  if (settings.max_descriptors_ == 0) return 0;
+  const int count = (settings.max_descriptors_ - kFileDescriptors) / share;
+  return static_cast<std::size_t>(std::max(count, kMinConnections));
+}
+
+http::ServerLimits WithSettings(http::ServerLimits limits, const GatewaySettings& settings) {
+  limits.body_timeout_ = settings.body_timeout_;
+  limits.response_timeout_ = settings.response_timeout_;
+  limits.max_fields_ = settings.max_fields_;
+  return limits;
+}
 
 Duration CallStopTime(Duration stop_time) {
   return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
@@ -83,13 +113,21 @@
 class QueryServer : public http::IServerHandler {
  public:
   using Handler = std::function<void(const http::ServerExchangePtr&, const http::Request&)>;
-  explicit QueryServer(Handler handler) : handler_(std::move(handler)), connections_(*this) {}
+  QueryServer(const GatewaySettings& settings, std::shared_ptr<http::MemoryAccount> account,
+              Handler handler)
+      : handler_(std::move(handler)), connections_(*this, std::move(account)) {
+    http::ServerLimits limits = WithSettings({}, settings);
+    limits.max_body_bytes_ = kMaxQueryBodyBytes;
+    connections_.SetLimits(limits);
+    connections_.SetMaxConnections(MaxConnections(settings, kQueryDescriptorShare));
+  }
 
   Result<void> Listen(const std::string& address) {
     if (address.empty()) return {};
     BOOST_LEAF_ASSIGN(listener_, http::Listener::Open(address, [this](int descriptor) {
                         connections_.Accept(descriptor);
                       }));
+    listener_->SetMayAccept([this] { return connections_.MakeRoom(); });
     return {};
   }
   void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
@@ -123,20 +161,26 @@
               std::uint64_t seed)
       : settings_(settings),
         state_(settings_, format, seed),
-        caller_connections_(*this),
-        directory_server_([this](const auto& exchange, const auto& request) {
-          RespondToDirectoryQuery(exchange, request);
-        }),
-        readiness_server_([this](const auto& exchange, const auto& request) {
-          RespondToReadinessQuery(exchange, request);
-        }),
-        metrics_server_([this](const auto& exchange, const auto& /*request*/) {
-          exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                            state_.metrics_.Format());
-        }),
-        record_server_([this](const auto& exchange, const auto& request) {
-          store_sync_.Server().OnRequest(exchange, request);
-        }),
+        memory_account_(std::make_shared<http::MemoryAccount>(
+            static_cast<std::size_t>(settings_.memory_bytes_ / kHeldMemoryShare))),
+        caller_connections_(*this, memory_account_),
+        directory_server_(settings_, memory_account_,
+                          [this](const auto& exchange, const auto& request) {
+                            RespondToDirectoryQuery(exchange, request);
+                          }),
+        readiness_server_(settings_, memory_account_,
+                          [this](const auto& exchange, const auto& request) {
+                            RespondToReadinessQuery(exchange, request);
+                          }),
+        metrics_server_(settings_, memory_account_,
+                        [this](const auto& exchange, const auto& /*request*/) {
+                          exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                                            state_.metrics_.Format());
+                        }),
+        record_server_(settings_, memory_account_,
+                       [this](const auto& exchange, const auto& request) {
+                         store_sync_.Server().OnRequest(exchange, request);
+                       }),
         self_{settings_.name_,
               settings_.zone_,
               settings_.front_address_,
@@ -166,6 +210,8 @@
     };
     caller_connections_.SetMaxBufferedBytes(
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
+    caller_connections_.SetLimits(WithSettings({}, settings_));
+    caller_connections_.SetMaxConnections(MaxConnections(settings_, kCallerDescriptorShare));
   }
 
   // A response that is still being sent, or a request that is still being read, is lost here.
@@ -183,6 +229,7 @@
                       http::Listener::Open(settings_.front_address_, [this](int descriptor) {
                         caller_connections_.Accept(descriptor);
                       }));
+    caller_listener_->SetMayAccept([this] { return caller_connections_.MakeRoom(); });
     BOOST_LEAF_CHECK(directory_server_.Listen(settings_.directory_address_));
     BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness_address_));
     BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics_address_));
@@ -201,6 +248,12 @@
   bool IsStopped() const override { return lifecycle_state_ == LifecycleState::kStopped; }
 
  private:
+  // Requests that a connection rejected for one reason.
+  struct Rejections {
+    std::uint64_t count_ = 0;
+    Time logged_at_{};
+  };
+
   bool IsServing() const { return lifecycle_state_ == LifecycleState::kServing; }
 
   void HandleLifecycleEvent(LifecycleEvent event) {
@@ -272,7 +325,8 @@
 
   void OnStateChanged() {
     if (state_.configuration_ != nullptr) {
-      caller_connections_.SetLimits(state_.configuration_->configuration_.limits_);
+      caller_connections_.SetLimits(
+          WithSettings(state_.configuration_->configuration_.limits_, settings_));
       if (state_.has_target_list_) HandleLifecycleEvent(LifecycleEvent::kConfigured);
     }
   }
@@ -284,6 +338,8 @@
     ExpireProbes(now);
     caller_connections_.CheckTimeouts(now);
     for (QueryServer* server : QueryServers()) server->connections_.CheckTimeouts(now);
+    memory_account_->ShedIfShort(now);
+    memory_account_->ReleaseFreedMemory(now);
     state_.pool_.CloseExpired(now);
     RemoveExpiredTargets(state_, now);
     EndTargetPauses(state_, now);
@@ -353,6 +409,16 @@
     state_.metrics_.SetGauge("calls", static_cast<double>(calls_.size()));
     state_.metrics_.SetGauge("caller_connections",
                              static_cast<double>(caller_connections_.Count()));
+    state_.metrics_.SetGauge("held_bytes", static_cast<double>(memory_account_->HeldBytes()));
+    state_.metrics_.SetGauge("connections_shed", static_cast<double>(memory_account_->ShedCount()));
+    std::uint64_t replaced = caller_connections_.ReplacedCount();
+    std::uint64_t pauses = caller_listener_ != nullptr ? caller_listener_->PauseCount() : 0;
+    for (const QueryServer* server : QueryServers()) {
+      replaced += server->connections_.ReplacedCount();
+      if (server->listener_ != nullptr) pauses += server->listener_->PauseCount();
+    }
+    state_.metrics_.SetGauge("connections_replaced", static_cast<double>(replaced));
+    state_.metrics_.SetGauge("accept_pauses", static_cast<double>(pauses));
     state_.metrics_.SetGauge("target_connections", static_cast<double>(state_.pool_.OpenCount()));
     state_.metrics_.SetGauge("targets", static_cast<double>(state_.targets_.size()));
     state_.metrics_.SetGauge("zone_hosts", static_cast<double>(state_.zone_hosts_.size()));
@@ -467,6 +533,9 @@
     calls_[call.get()] = call;
     calls_by_exchange_[exchange.get()] = call.get();
     call->Start(now);
+    // A call that ended at once is not on the stack any more. One read may hold thousands of such
+    // requests, so they are not kept until the next tick.
+    if (!finished_calls_.empty() && finished_calls_.back() == call) finished_calls_.pop_back();
   }
 
   bool MayOverlap(const http::RequestHead& head) const override {
@@ -493,8 +562,17 @@
 
   void OnRejected(int status, std::string_view reason) override {
     state_.metrics_.CountRequest("", "failed", reason);
+    Rejections& rejections = rejections_[std::string(reason)];
+    ++rejections.count_;
+    const Time now = Now();
+    if (rejections.logged_at_ != Time{} && now - rejections.logged_at_ < kRejectionLogInterval) {
+      return;
+    }
+    rejections.logged_at_ = now;
     logging::LogEvent(logging::LogLevel::kWarning, "request_rejected",
-                      {{"status", std::to_string(status)}, {"reason", std::string(reason)}});
+                      {{"status", std::to_string(status)},
+                       {"reason", std::string(reason)},
+                       {"total", std::to_string(rejections.count_)}});
   }
 
   void OnCallFinished(Call& call) override {
@@ -516,6 +594,7 @@
 
   GatewaySettings settings_;
   GatewayState state_;
+  std::shared_ptr<http::MemoryAccount> memory_account_;
   http::ServerConnections caller_connections_;
   std::unique_ptr<http::Listener> caller_listener_;
   QueryServer directory_server_;
@@ -539,6 +618,7 @@
   std::map<http::ServerExchange*, Call*> calls_by_exchange_;
   std::vector<CallPtr> finished_calls_;
   std::vector<ProbePtr> detached_probes_;
+  std::map<std::string, Rejections> rejections_;  // By reason.
 };
 
 }  // namespace
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -39,7 +39,7 @@
   // Sends a serialized request. The connection must be idle. `is_head` is true for a HEAD request,
   // whose response has no body. The handler must outlive the exchange, which ends with OnDone,
   // OnFailed or Cancel.
-  void SendRequest(const std::string& request, bool is_head, IExchangeHandler& handler);
+  void SendRequest(std::string request, bool is_head, IExchangeHandler& handler);
   // Closes the connection without calling the handler.
   void Cancel();
   // Stops or resumes reading of the response, so that a slow receiver limits the peer.
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -29,6 +29,9 @@
   bool expects_continue_ = false;
 };
 
+// Memory that a request head occupies.
+std::size_t HeadBytes(const RequestHead& head);
+
 struct ResponseHead {
   int status_ = 0;
   Headers headers_;
--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -35,8 +35,7 @@
 
 ClientConnection::~ClientConnection() { *alive_ = false; }
 
-void ClientConnection::SendRequest(const std::string& request, bool is_head,
-                                   IExchangeHandler& handler) {
+void ClientConnection::SendRequest(std::string request, bool is_head, IExchangeHandler& handler) {
   handler_ = &handler;
   is_head_ = is_head;
   interim_bytes_ = 0;
@@ -46,7 +45,7 @@
   bytes_sent_before_ = stream_->BytesSent();
   state_ = State::kBusy;
   ++exchange_count_;
-  stream_->Write(request);
+  stream_->WriteOwned(std::move(request));
 }
 
 void ClientConnection::Cancel() {
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -93,6 +93,7 @@
   }
 
   ParseError error_ = ParseError::kNone;
+  std::size_t max_fields_ = std::numeric_limits<std::size_t>::max();
   Headers headers_;
   std::string method_;
   std::string target_;
@@ -122,6 +123,8 @@
       code = bhttp::error::bad_field;
     } else if (!IsFieldValue(value)) {
       code = bhttp::error::bad_value;
+    } else if (!this->is_header_done() && headers_.size() >= max_fields_) {
+      code = bhttp::error::header_limit;
     } else if (!this->is_header_done()) {
       headers_.emplace_back(ToString(name), ToString(value));
     }
@@ -168,8 +171,10 @@
   bool has_head_ = false;
 };
 
-RequestParser::RequestParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+RequestParser::RequestParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes,
+                             std::size_t max_fields)
     : parser_(std::make_unique<Parser>()) {
+  parser_->max_fields_ = max_fields;
   parser_->header_limit(static_cast<std::uint32_t>(
       std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
   parser_->body_limit(max_body_bytes);
@@ -185,6 +190,7 @@
     head.method_ = std::move(parser_->method_);
     head.target_ = std::move(parser_->target_);
     head.headers_ = std::move(parser_->headers_);
+    head.headers_.shrink_to_fit();  // The request may wait for its body.
     head.keep_alive_ = parser_->keep_alive();
     const std::string* expect = FindHeader(head.headers_, "Expect");
     head.expects_continue_ = expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
@@ -197,6 +203,9 @@
 ParseError RequestParser::Error() const { return parser_->error_; }
 RequestHead& RequestParser::Head() { return parser_->head_; }
 std::string& RequestParser::Body() { return parser_->body_; }
+std::size_t RequestParser::FieldBytes() const {
+  return parser_->headers_.capacity() * sizeof(Headers::value_type);
+}
 
 struct ResponseParser::Parser : BufferingParser<false> {
   ResponseHead head_;
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -28,6 +28,7 @@
 ServerConnection::ServerConnection(int descriptor, ServerConnections& owner)
     : owner_(owner), state_entered_at_(Now()) {
   stream_ = Stream::Adopt(descriptor, *this, kCallerStreamOptions);
+  UpdateAccount();
 }
 
 ServerConnection::~ServerConnection() = default;
@@ -35,7 +36,9 @@
 void ServerConnection::OnDataReceived() {
   last_byte_at_ = Now();
   arrival_times_.Add(stream_->InputBuffer().size() - arrival_times_.Remaining(), last_byte_at_);
+  const auto self = shared_from_this();
   ReadRequests();
+  owner_.account_->ShedIfShort(last_byte_at_);
 }
 
 bool ServerConnection::IsIdle() const {
@@ -70,12 +73,17 @@
   reading_requests_ = false;
   if (state_ != State::kOpen) return;
   stream_->PauseReading(stream_->InputBuffer().size() > kMaxReadAheadBytes);
+  ReleaseBuffers();
+  UpdateAccount();
 }
 
 bool ServerConnection::ReadRequest() {
   // Requests behind the close of the connection are not read; the caller sends them again.
   if (!exchanges_.empty() && Pipeline().closes_) return false;
   if (!next_request_) {
+    // Responses to pipelined requests must not fill the output buffer.
+    waits_for_output_ = parser_ == nullptr && stream_->UnsentBytes() >= kMaxHeldResponseBytes;
+    if (waits_for_output_) return false;
     if (parser_ == nullptr && !MayStartRequest(Pipeline(), true)) return false;
     if (!ParseRequest()) return false;
   }
@@ -98,9 +106,11 @@
     input.erase(0, empty_bytes);
     arrival_times_.Remove(empty_bytes);
     if (input.empty()) return false;
-    parser_ = std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
-                                              owner_.limits_.max_body_bytes_);
+    parser_ =
+        std::make_unique<RequestParser>(owner_.limits_.max_header_bytes_,
+                                        owner_.limits_.max_body_bytes_, owner_.limits_.max_fields_);
     continue_sent_ = false;
+    head_bytes_ = 0;
     parsing_since_ = last_byte_at_ = Now();
     request_received_at_ = arrival_times_.First(parsing_since_);
   }
@@ -109,6 +119,7 @@
   input.erase(0, parsed_bytes);
   arrival_times_.Remove(parsed_bytes);
   owner_.buffered_bytes_ += parser_->Body().size() - body_before;
+  if (head_bytes_ == 0 && parser_->HasHead()) head_bytes_ = HeadBytes(parser_->Head());
   switch (parser_->Error()) {
     case ParseError::kNone:
       break;
@@ -145,6 +156,8 @@
 void ServerConnection::StartRequest(Request request) {
   had_request_ = true;
   const auto exchange = std::make_shared<ServerExchange>(*this, request.head_);
+  exchange->request_bytes_ = head_bytes_ + request.body_.size();
+  request.charge_ = std::make_shared<MemoryCharge>(owner_.account_, exchange->request_bytes_);
   exchanges_.push_back(exchange);
   if (!exchange->keep_alive_) closes_ = true;
   owner_.handler_.OnRequest(exchange, std::move(request));
@@ -197,7 +210,7 @@
   if (!exchange.held_body_.empty()) {
     text += exchange.chunked_ ? FormatChunk(exchange.held_body_) : exchange.held_body_;
     RemoveHeldBytes(exchange.held_body_.size());
-    exchange.held_body_ = {};
+    std::string().swap(exchange.held_body_);
   }
   if (exchange.state_ == ServerExchange::State::kComplete && exchange.chunked_ &&
       !exchange.is_head_) {
@@ -237,7 +250,7 @@
   std::deque<ServerExchangePtr> exchanges = std::exchange(exchanges_, {});
   for (const ServerExchangePtr& exchange : exchanges) {
     exchange->connection_ = nullptr;
-    exchange->held_body_ = {};
+    std::string().swap(exchange->held_body_);
     exchange->ReportTurn(std::nullopt);
   }
   return exchanges;
@@ -257,11 +270,18 @@
   state_entered_at_ = Now();
   std::deque<ServerExchangePtr> exchanges = TakeExchanges();
   stream_->ShutDown();
+  ReleaseBuffers();
+  UpdateAccount();
   return exchanges;
 }
 
 void ServerConnection::OnOutputFlushed() {
   if (state_ == State::kClosing) state_entered_at_ = Now();  // The linger time begins.
+  if (state_ != State::kOpen) return;
+  const auto self = shared_from_this();
+  UpdateAccount();
+  // Otherwise the function that writes reads further requests afterwards.
+  if (waits_for_output_ && !writing_responses_) ReadRequests();
   if (state_ != State::kOpen || exchanges_.empty()) return;
   const ServerExchangePtr first = exchanges_.front();
   if (first->head_written_ && first->state_ == ServerExchange::State::kStreaming) {
@@ -283,6 +303,7 @@
   state_ = State::kClosed;
   std::deque<ServerExchangePtr> exchanges = TakeExchanges();
   stream_.reset();
+  UpdateAccount();
   owner_.connections_.erase(self);
   return exchanges;
 }
@@ -323,6 +344,7 @@
 }
 
 void ServerConnection::CheckTimeouts(Time now) {
+  if (CheckResponseTimeout(now)) return;
   switch (state_) {
     case State::kOpen:
       if (parser_ != nullptr) {
@@ -339,40 +361,4 @@
   }
 }
 
-ServerConnections::~ServerConnections() {
-  const auto connections = std::move(connections_);
-  connections_.clear();
-  for (const auto& connection : connections) connection->Abort();
-}
-
-void ServerConnections::Accept(int descriptor) {
-  connections_.insert(std::make_shared<ServerConnection>(descriptor, *this));
-}
-
-void ServerConnections::CheckTimeouts(Time now) {
-  const std::vector<ServerConnectionPtr> all(connections_.begin(), connections_.end());
-  for (const auto& connection : all) {
-    if (connection->IsOpen()) connection->CheckTimeouts(now);
-  }
-}
-
-void ServerConnections::CloseIdle() {
-  const std::vector<ServerConnectionPtr> all(connections_.begin(), connections_.end());
-  for (const auto& connection : all) {
-    if (connection->IsOpen()) connection->CloseIfIdle();
-  }
-}
-
-ConnectionCounts ServerConnections::CountByState() const {
-  ConnectionCounts counts;
-  counts.open_ = connections_.size();
-  for (const auto& connection : connections_) {
-    if (connection->IsReading()) ++counts.reading_;
-    if (connection->IsBusy()) ++counts.busy_;
-    if (connection->IsClosing()) ++counts.closing_;
-    counts.unsent_bytes_ += connection->UnsentBytes();
-  }
-  return counts;
-}
-
 }  // namespace monsoonshelf::http
--- a/src/http/internal/server_exchange.cc
+++ b/src/http/internal/server_exchange.cc
@@ -42,12 +42,15 @@
 
 void ServerExchange::WriteChunk(std::string_view bytes) {
   if (connection_ == nullptr || state_ != State::kStreaming || bytes.empty() || is_head_) return;
+  // The handler may close the connection while bytes are written.
+  const ServerConnectionPtr connection = connection_->shared_from_this();
   if (head_written_) {
-    connection_->stream_->Write(FormatChunk(bytes));
+    connection->stream_->Write(FormatChunk(bytes));
   } else {
     held_body_.append(bytes);
-    connection_->AddHeldBytes(bytes.size());
+    connection->AddHeldBytes(bytes.size());
   }
+  connection->UpdateAccount();
 }
 
 void ServerExchange::EndChunkedResponse() {
--- a/src/http/internal/stream.cc
+++ b/src/http/internal/stream.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "http/socket_address.h"
 
@@ -22,6 +23,9 @@
 constexpr int kMaxReadsPerDispatch = 4;
 // Sent bytes are erased from the front of the output buffer once there are more than this.
 constexpr std::size_t kOutputCompactBytes = std::size_t{256} * 1024;
+// An output buffer larger than this is released when its bytes are sent. Idle connections would
+// otherwise keep the memory of the largest message that they have carried.
+constexpr std::size_t kMaxKeptOutputBytes = std::size_t{4} * 1024;
 constexpr int kKeepAliveProbes = 2;
 
 void SetOption(int descriptor, int level, int name, int value) {
@@ -193,6 +197,14 @@
   if (connected_ && FlushOutput()) UpdatePolledEvents();
 }
 
+void Stream::WriteOwned(std::string bytes) {
+  if (closed_ || write_closed_) return;
+  if (UnsentBytes() > 0) return Write(bytes);
+  output_ = std::move(bytes);
+  output_begin_ = 0;
+  if (connected_ && FlushOutput()) UpdatePolledEvents();
+}
+
 bool Stream::FlushOutput() {
   while (UnsentBytes() > 0) {
     const ssize_t count =
@@ -218,7 +230,11 @@
     }
     return true;
   }
-  output_.clear();
+  if (output_.capacity() > kMaxKeptOutputBytes) {
+    std::string().swap(output_);
+  } else {
+    output_.clear();
+  }
   output_begin_ = 0;
   if (shutdown_requested_ && !write_closed_) {
     write_closed_ = true;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -3,10 +3,12 @@
 #include <glib.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "base/base_types.h"
 #include "base/result.h"
 
 namespace monsoonshelf::http {
@@ -24,6 +26,11 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // Sets a function that tells whether a connection may be accepted. While it returns false, and
+  // while the process has no descriptor left, connections wait in the listen queue.
+  void SetMayAccept(std::function<bool()> may_accept) { may_accept_ = std::move(may_accept); }
+  // Number of times that accepting was interrupted.
+  std::uint64_t PauseCount() const { return pause_count_; }
   // Accepts all connections in the listen queue. Returns their number.
   std::size_t AcceptAll();
   // Address with the actual port, as IP:port.
@@ -35,10 +42,16 @@
   static gboolean Dispatch(GSource* source, GSourceFunc callback, gpointer data);
   // Returns whether a connection was accepted.
   bool AcceptOne();
+  // Stops accepting for a short time.
+  void Pause(const char* cause);
 
   int descriptor_ = -1;
   GSource* source_ = nullptr;
+  gpointer fd_tag_ = nullptr;
   OnAccept on_accept_;
+  std::function<bool()> may_accept_;
+  std::uint64_t pause_count_ = 0;
+  Time pause_logged_at_{};
   std::string address_;
 };
 
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -15,9 +15,15 @@
 // the bytes received since. Error() is kHeaderTooLarge if the header exceeds its limit, and
 // kBodyTooLarge if the body exceeds its limit or kMaxChunkFramingBytes is exceeded.
 
+// Default limit on the number of header fields of a request. Requests of ordinary callers have less
+// than a hundred.
+inline constexpr std::size_t kMaxRequestFields = 1000;
+
 class RequestParser {
  public:
-  RequestParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes);
+  // A header with more than `max_fields` fields is too large.
+  RequestParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes,
+                std::size_t max_fields = kMaxRequestFields);
   ~RequestParser();
   std::size_t Feed(std::string_view bytes);
   bool HasHead() const;
@@ -25,6 +31,8 @@
   ParseError Error() const;
   RequestHead& Head();
   std::string& Body();  // Body bytes received so far.
+  // Memory of the fields of a head that is not complete.
+  std::size_t FieldBytes() const;
 
  private:
   struct Parser;
--- a/src/http/pipeline.h
+++ b/src/http/pipeline.h
@@ -14,7 +14,8 @@
 // Maximum number of requests of one connection that are started and not answered. More requests
 // stay unread, so that one caller cannot use all targets.
 inline constexpr std::size_t kMaxPipelinedRequests = 16;
-// Response bytes held for their turn on one connection above which no further request is started.
+// Response bytes held for their turn on one connection, or not yet accepted by the caller, above
+// which no further request is started.
 inline constexpr std::size_t kMaxHeldResponseBytes = std::size_t{1} << 20;
 
 struct PipelineState {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -10,6 +10,8 @@
 
 #include "base/base_types.h"
 #include "http/http_types.h"
+#include "http/memory_account.h"
+#include "http/memory_pressure.h"
 #include "http/message_parser.h"
 #include "http/pipeline.h"
 #include "http/server_exchange.h"
@@ -27,6 +29,9 @@
   Duration idle_timeout_ = std::chrono::seconds(15);
   // Time between two reads of a request body.
   Duration body_timeout_ = std::chrono::seconds(10);
+  // Time in which a caller that has a response to read must accept some of its bytes.
+  Duration response_timeout_ = std::chrono::seconds(30);
+  std::size_t max_fields_ = kMaxRequestFields;  // Header fields of a request.
 };
 
 class ServerConnection;
@@ -59,6 +64,13 @@
   void CheckTimeouts(Time now);
   // Closes the connection at once, without calling the handler.
   void Abort();
+  // What the connection holds, for the choice of the connections to close.
+  ConnectionLoad Load(Time now) const;
+  // Frees the memory of the connection: rejects an incomplete request with status 503, or closes
+  // the connection. Returns false if a request has just arrived on an idle connection.
+  bool Shed();
+  // The same, but always frees the descriptor too.
+  bool Replace();
 
  private:
   friend class ServerExchange;
@@ -81,6 +93,13 @@
   bool ParseRequest();
   void StartRequest(Request request);
   void CheckReadTimeout(Time now);
+  // Closes the connection of a caller that does not read its response. Returns whether it did.
+  bool CheckResponseTimeout(Time now);
+  // Releases input buffers that are larger than their content.
+  void ReleaseBuffers();
+  std::size_t HeldBytes() const;
+  // Corrects the bytes of this connection in the memory account.
+  void UpdateAccount();
   void Reject(int status, std::string_view reason);
   // Writes the responses that have their turn, then reads further requests.
   void WriteResponses();
@@ -113,6 +132,12 @@
   Time last_byte_at_{};
   Time request_received_at_{};
   bool continue_sent_ = false;
+  // Reading goes on when the responses in the output buffer have been sent.
+  bool waits_for_output_ = false;
+  std::size_t head_bytes_ = 0;  // Of the request in parser_ or next_request_.
+  std::size_t accounted_bytes_ = 0;
+  std::uint64_t bytes_sent_seen_ = 0;  // At the last check.
+  Time sent_at_{};                     // Time of the last check that saw progress.
 };
 
 // Numbers of open connections by state. The rest are idle.
@@ -127,13 +152,23 @@
 // The connections accepted by one listener. The destructor closes all of them.
 class ServerConnections {
  public:
-  explicit ServerConnections(IServerHandler& handler) : handler_(handler) {}
+  // `account` may be shared with other listeners; without one, memory is not limited.
+  explicit ServerConnections(IServerHandler& handler,
+                             std::shared_ptr<MemoryAccount> account = nullptr);
   ~ServerConnections();
   ServerConnections(const ServerConnections&) = delete;
   ServerConnections& operator=(const ServerConnections&) = delete;
 
+  // Returns whether a connection may be accepted. At the maximum number of connections, closes one
+  // that is not in use.
+  bool MakeRoom();
   // Takes ownership of an accepted socket.
   void Accept(int descriptor);
+  // Sets the maximum number of connections; 0: no limit.
+  void SetMaxConnections(std::size_t count) { max_connections_ = count; }
+  // Number of connections that were closed in favour of new ones.
+  std::uint64_t ReplacedCount() const { return replaced_count_; }
+  const std::set<ServerConnectionPtr>& All() const { return connections_; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   const ServerLimits& Limits() const { return limits_; }
   // While enabled, every connection is closed after the responses to its started requests.
@@ -153,7 +188,10 @@
  private:
   friend class ServerConnection;
   IServerHandler& handler_;
+  std::shared_ptr<MemoryAccount> account_;
   ServerLimits limits_;
+  std::size_t max_connections_ = 0;
+  std::uint64_t replaced_count_ = 0;
   bool close_after_response_ = false;
   std::size_t max_buffered_bytes_ = std::size_t{64} << 20;
   std::size_t buffered_bytes_ = 0;  // Request bodies and held responses.
--- a/src/http/server_exchange.h
+++ b/src/http/server_exchange.h
@@ -12,6 +12,7 @@
 
 namespace monsoonshelf::http {
 
+class MemoryCharge;
 class ServerConnection;
 
 // A complete request.
@@ -19,6 +20,8 @@
   RequestHead head_;
   std::string body_;
   Time received_{};  // When its first byte was read, also if earlier requests were answered later.
+  // Counts the memory of the request as long as the handler keeps it.
+  std::shared_ptr<MemoryCharge> charge_{};
 };
 
 // One request on a caller's connection and its response. Responses reach the caller in the order of
@@ -81,7 +84,8 @@
   Headers headers_;
   std::string held_body_;       // Not yet passed to the stream.
   std::size_t body_bytes_ = 0;  // Of a body that is not chunked.
-  Time responded_at_{};         // When the response began.
+  std::size_t request_bytes_ = 0;
+  Time responded_at_{};  // When the response began.
   OnTurn on_turn_;
   bool turn_reported_ = false;
   std::optional<Duration> waited_;  // See OnTurn; valid if turn_reported_ is set.
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -59,6 +59,10 @@
   std::size_t UnsentBytes() const { return output_.size() - output_begin_; }
   // Buffers bytes and sends as many as the socket accepts. Errors are reported later by OnClosed.
   void Write(std::string_view bytes);
+  // The same without a copy if nothing else is buffered.
+  void WriteOwned(std::string bytes);
+  // Memory that the buffers occupy.
+  std::size_t BufferBytes() const { return input_.capacity() + output_.capacity(); }
   // Reads what the kernel has received, and calls the handler as usual, without waiting for the
   // main loop.
   void ReceiveNow();
--- a/src/http/tests/message_parser_test.cc
+++ b/src/http/tests/message_parser_test.cc
@@ -21,12 +21,24 @@
   CPPUNIT_TEST(RejectsMalformedRequestHeads);
   CPPUNIT_TEST(AcceptsUnusualHeads);
   CPPUNIT_TEST(RemovesConnectionHeaders);
+  CPPUNIT_TEST(LimitsNumberOfFields);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   static constexpr std::size_t kMaxHeaderBytes = 1024;
   static constexpr std::uint64_t kMaxBodyBytes = 100;
 
+  // Guards against requests of legal size whose parsed fields hold many times their size.
+  void LimitsNumberOfFields() {
+    const std::string head = "GET / HTTP/1.1\r\na:\r\na:\r\na:\r\n";
+    RequestParser at_limit(kMaxHeaderBytes, kMaxBodyBytes, 3);
+    at_limit.Feed(head + "\r\n");
+    CPPUNIT_ASSERT(at_limit.IsDone());
+    RequestParser above_limit(kMaxHeaderBytes, kMaxBodyBytes, 3);
+    above_limit.Feed(head + "a:\r\n\r\n");
+    CPPUNIT_ASSERT(above_limit.Error() == ParseError::kHeaderTooLarge);
+  }
+
   // Guards against losing bytes when a message is split over several reads.
   void ParsesRequestFedByteByByte() {
     const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
