--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -13,6 +13,7 @@
 #include "gateway/internal/call.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/peer_socket.h"
+#include "gateway/internal/query_server.h"
 #include "gateway/internal/quota_control.h"
 #include "gateway/internal/rollout_control.h"
 #include "gateway/internal/store_sync.h"
@@ -63,34 +64,9 @@
 // All that caller connections hold may use the memory limit divided by this number. The body of a
 // started request exists a second time while it is sent to its target; the rest is for the process.
 constexpr int kHeldMemoryShare = 3;
-// Descriptors that the platform reserves for files.
-constexpr int kFileDescriptors = 200;
-// The other descriptors divided by these numbers are the maximum number of connections to the
-// caller port, and to each of the four other ports. A quarter is left for targets, the store and
-// other hosts.
-constexpr int kCallerDescriptorShare = 2;
-constexpr int kQueryDescriptorShare = 16;
-// Minimum of these numbers.
-constexpr int kMinConnections = 8;
-// Maximum size of the body of a query; none has a body.
-constexpr std::uint64_t kMaxQueryBodyBytes = std::uint64_t{64} * 1024;
 // Interval between two log lines about rejected requests with the same reason.
 constexpr Duration kRejectionLogInterval = std::chrono::seconds(10);
 
-// Returns 0 if the number of descriptors is unknown.
-std::size_t MaxConnections(const GatewaySettings& settings, int share) {
-  if (settings.max_descriptors_ == 0) return 0;
-  const int count = (settings.max_descriptors_ - kFileDescriptors) / share;
-  return static_cast<std::size_t>(std::max(count, kMinConnections));
-}
-
-http::ServerLimits WithSettings(http::ServerLimits limits, const GatewaySettings& settings) {
-  limits.body_timeout_ = settings.body_timeout_;
-  limits.response_timeout_ = settings.response_timeout_;
-  limits.max_fields_ = settings.max_fields_;
-  return limits;
-}
-
 Duration CallStopTime(Duration stop_time) {
   return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
                   stop_time - kCallStopMargin);
@@ -110,51 +86,6 @@
           {"unsent_bytes", std::to_string(counts.unsent_bytes_)}};
 }
 
-// HTTP server for one kind of short query: directory, readiness, metrics or records.
-class QueryServer : public http::IServerHandler {
- public:
-  using Handler = std::function<void(const http::ServerExchangePtr&, const http::Request&)>;
-  QueryServer(const GatewaySettings& settings, std::shared_ptr<http::MemoryAccount> account,
-              Handler handler)
-      : handler_(std::move(handler)), connections_(*this, std::move(account)) {
-    http::ServerLimits limits = WithSettings({}, settings);
-    limits.max_body_bytes_ = kMaxQueryBodyBytes;
-    connections_.SetLimits(limits);
-    connections_.SetMaxConnections(MaxConnections(settings, kQueryDescriptorShare));
-  }
-
-  Result<void> Listen(const std::string& address) {
-    if (address.empty()) return {};
-    BOOST_LEAF_ASSIGN(listener_, http::Listener::Open(address, [this](int descriptor) {
-                        connections_.Accept(descriptor);
-                      }));
-    listener_->SetMayAccept([this] { return connections_.MakeRoom(); });
-    return {};
-  }
-  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
-    handler_(exchange, request);
-  }
-  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
-    if (on_caller_gone_ != nullptr) on_caller_gone_(exchange);
-  }
-  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
-  void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
-
-  // Closes every connection after its next response, and those that are idle at once. Returns
-  // whether none is left.
-  bool CloseConnections() {
-    connections_.SetCloseAfterResponse(true);
-    connections_.CloseIdle();
-    if (listener_ != nullptr) listener_->AcceptAll();
-    return connections_.Count() == 0;
-  }
-
-  Handler handler_;
-  std::function<void(const http::ServerExchangePtr&)> on_caller_gone_;
-  http::ServerConnections connections_;
-  std::unique_ptr<http::Listener> listener_;
-};
-
 class GatewayImpl : public Gateway, private http::IServerHandler, private ICallOwner {
  public:
   GatewayImpl(const GatewaySettings& settings, const ICallFormat& format,
@@ -223,7 +154,7 @@
     caller_connections_.SetMaxBufferedBytes(
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
     caller_connections_.SetLimits(WithSettings({}, settings_));
-    caller_connections_.SetMaxConnections(MaxConnections(settings_, kCallerDescriptorShare));
+    caller_connections_.SetMaxConnections(MaxCallerConnections(settings_));
   }
 
   // A response that is still being sent, or a request that is still being read, is lost here.
