--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -97,7 +97,8 @@
     case QuotaAction::kAdmit:
       break;
   }
-  is_charged_ = true;
+  charged_team_ = team_;
+  charged_at_ = now;
   StartSelection(SendPurpose::kFirst, now);
 }
 
@@ -385,7 +386,7 @@
   exchange_->BeginChunkedResponse(attempt.head_.status_,
                                   state_.format_.HeadersForCaller(attempt.head_));
   exchange_->WriteChunk(attempt.body_);
-  attempt.body_ = {};
+  std::string().swap(attempt.body_);
   if (exchange_->UnsentBytes() > detail::kMaxUnsentBytes) attempt.PauseReading(true);
   SetTimer();
 }
@@ -418,7 +419,12 @@
   is_finished_ = true;
   timer_.Clear();
   if (waits_for_quota_) state_.quota_gate_->Cancel(*this);
-  if (is_charged_ && possibly_executed_sends_ == 0) state_.quota_gate_->Refund(team_, now);
+  if (!charged_team_.empty() && possibly_executed_sends_ == 0) {
+    state_.quota_gate_->Refund(charged_team_, charged_at_, now);
+  }
+  // The call itself is destroyed later.
+  std::string().swap(request_.body_);
+  request_.charge_.reset();
   if (selecting_) EndSelection();
   const Duration total = now - request_.received_;
   const Duration waiting = (first_sent_at_ == Time{} ? now : first_sent_at_) - request_.received_;
@@ -472,6 +478,9 @@
   hedge_at_ = Time::max();
   exchange_.reset();
   if (!attempts_.empty() && !IsIdempotent(route_->kind_)) {
+    // Nothing is sent again for a caller that has left.
+    std::string().swap(request_.body_);
+    request_.charge_.reset();
     // A non-idempotent request is not cancelled: a caller that returns finds it either executed or
     // not executed, but never interrupted. Nobody slows down its response any more.
     streaming_ = false;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -124,10 +124,14 @@
   // Ends the request, or the search for a further target, because its key is not accepted.
   void EndUnauthorized(AccessDecision decision, Time now);
   TargetCredentials CredentialsForTarget() const;
+  // Deployments without teams serve waiting requests in the order of their arrival.
+  bool OrdersByPriority() const { return configuration_->configuration_.teams_.has_value(); }
   Duration ObjectiveLeft(Time now) const;
   bool CanRetry(Time now);
   // Plans the second request, if the first one may have one.
   void PlanHedge(Duration expected, Time now);
+  // Returns whether a second request may be sent now, and counts it if it is withheld.
+  bool MayHedge(Time now);
   // Looks for a second target, or plans to check again.
   void OnHedgeDue(Time now);
   // Records the response time, and whether a second request was the faster one.
@@ -172,8 +176,9 @@
   std::string service_;
   std::string team_;  // Name of the team whose key the request has; empty if anonymous.
   bool waits_for_quota_ = false;
-  bool is_charged_ = false;  // The quota of the team was charged for the request.
-  int priority_ = 0;         // Of the team, or else of the route; 0 is the highest.
+  std::string charged_team_;  // Whose quota was charged for the request; may be empty.
+  Time charged_at_{};
+  int priority_ = 0;  // Of the team, or else of the route; 0 is the highest.
   Time deadline_ = Time::max();
   bool is_finished_ = false;
 
--- a/src/gateway/internal/call_attempt.cc
+++ b/src/gateway/internal/call_attempt.cc
@@ -78,7 +78,7 @@
   last_progress_at_ = Now();
   if (call_.exchange_ == nullptr) {
     // The caller has left, and the request goes on only because it is not idempotent.
-    body_ = {};
+    std::string().swap(body_);
     return body.clear();
   }
   if (streamed_) {
--- a/src/gateway/internal/call_hedging.cc
+++ b/src/gateway/internal/call_hedging.cc
@@ -32,9 +32,7 @@
   hedge_at_ = now + delay;
 }
 
-void Call::OnHedgeDue(Time now) {
-  hedge_at_ = Time::max();
-  if (selecting_ || streaming_ || attempts_.size() != 1 || !CanRetry(now)) return;
+bool Call::MayHedge(Time now) {
   HedgeInputs inputs;
   inputs.max_share_ = state_.settings_.max_hedge_share_;
   inputs.retry_tokens_ = Service().retry_budget_.tokens_;
@@ -42,12 +40,19 @@
   inputs.service_time_ = MakePlacementInputs(now).service_time_;
   inputs.time_left_ = deadline_ - now;
   const HedgeDecision decision = DecideHedge(inputs, Service().hedge_budget_);
-  if (decision == HedgeDecision::kSend) return StartSelection(SendPurpose::kHedge, now);
+  if (decision == HedgeDecision::kSend) return true;
   if (withheld_hedge_ != decision) {
     withheld_hedge_ = decision;
     state_.metrics_.CountHedge(service_, NameOf(kHedgeDecisionNames, decision));
   }
-  if (decision != HedgeDecision::kNoTimeLeft) hedge_at_ = now + kHedgeRecheckInterval;
+  return false;
+}
+
+void Call::OnHedgeDue(Time now) {
+  hedge_at_ = Time::max();
+  if (selecting_ || streaming_ || attempts_.size() != 1 || !CanRetry(now)) return;
+  if (MayHedge(now)) return StartSelection(SendPurpose::kHedge, now);
+  if (withheld_hedge_ != HedgeDecision::kNoTimeLeft) hedge_at_ = now + kHedgeRecheckInterval;
 }
 
 void Call::RecordHedgeResult(const Attempt& answered, Time now) {
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -123,7 +123,8 @@
 
 WaitingRequest Call::DescribeWaiting(Time now) const {
   const ServiceState& service = state_.services_.at(service_);
-  return {priority_, RecentTeamUse(service.team_use_, team_, now), request_.received_};
+  return {OrdersByPriority() ? priority_ : 0, RecentTeamUse(service.team_use_, team_, now),
+          request_.received_};
 }
 
 void Call::GiveUpPlace(Time now) {
@@ -235,7 +236,7 @@
   inputs.leaves_last_slot_ =
       !TakesLastSlot(Service().recent_requests_, queued_, now, state_.random_);
   ServiceLoad load = CurrentServiceLoad(now);
-  const double refused = RefusedMoreUrgent(Service(), priority_, now);
+  const double refused = OrdersByPriority() ? RefusedMoreUrgent(Service(), priority_, now) : 0;
   if (refused > 0) {
     load.yields_ =
         YieldsToUrgent(refused, std::uniform_real_distribution<double>(0, 1)(state_.random_));
@@ -352,8 +353,10 @@
     if (connection == nullptr) return false;
   }
   if (send_count_ > 0) {
-    if (!ConsumeRetryToken(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_,
-                           now)) {
+    // Other requests may have used the allowance since the search began.
+    const bool is_withheld = purpose_ == SendPurpose::kHedge && !MayHedge(now);
+    if (is_withheld || !ConsumeRetryToken(Service().retry_budget_, state_.settings_.bounds_,
+                                          state_.fleet_size_, now)) {
       state_.pool_.Release(connection);
       return false;
     }
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -84,7 +84,7 @@
   virtual QuotaVerdict Admit(const Team& team, IQuotaWaiter& waiter, Time now) = 0;
   virtual void Cancel(IQuotaWaiter& waiter) = 0;
   // Gives back what a request was admitted with that did not run.
-  virtual void Refund(const std::string& team, Time now) = 0;
+  virtual void Refund(const std::string& team, Time admitted_at, Time now) = 0;
 };
 
 // Decides which versions of a service a request may be sent to. Null where there are no roll-outs.
--- a/src/gateway/internal/quota.cc
+++ b/src/gateway/internal/quota.cc
@@ -21,8 +21,7 @@
 constexpr double kAskShare = 0.35;
 // Hosts may stop asking when this share of the bucket has been refilled above that.
 constexpr double kHysteresisShare = 0.15;
-// How long a host asks after a notice, and the interval at which notices are repeated.
-constexpr Duration kMustAskTime = std::chrono::milliseconds(1500);
+// Interval at which notices are repeated.
 constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
 // Tokens that a host does not use for this time are lost to the team.
 constexpr Duration kCreditTime = std::chrono::milliseconds(500);
@@ -34,15 +33,10 @@
 constexpr Duration kAskerTime = std::chrono::seconds(1);
 // Replies are kept for repetition until the asking host has long given up.
 constexpr Duration kReplyKeepTime = std::chrono::seconds(3);
-// Other hosts know a host, or that it is gone, after this time at the latest: they list the hosts
-// every 30 s.
-constexpr Duration kEstablishedTime = std::chrono::seconds(45);
 // An owner that hears from less than this share of the hosts is in the smaller part of a partition.
 constexpr double kMinorityShare = 0.5;
 // An owner hears from most of the hosts that it can reach, but not from all of them.
 constexpr double kHeardFactor = 1.1;
-// Below this number of hosts, the one that is heard varies too much to show a partition.
-constexpr double kMinUsuallyHeard = 30;
 // Part of the rate of an owner beside which another one gives out the rest: within the overage.
 constexpr double kDoubtfulShare = 0.08;
 // A host with this share of the largest capacity is preferred as an owner.
@@ -76,6 +70,8 @@
   std::erase_if(quota.answered_,
                 [now](const auto& item) { return now - item.second.at_ > kReplyKeepTime; });
   OwnedQuota::Answered& last = quota.answered_[sender.host_];
+  // A datagram of an earlier process of the host.
+  if (sender.incarnation_ < last.incarnation_) return last.reply_;
   // A repeated request must not be debited twice. One that was overtaken by a later one gets the
   // reply to that one, which the host ignores.
   if (last.incarnation_ == sender.incarnation_ && request.sequence_ <= last.reply_.sequence_) {
@@ -103,7 +99,7 @@
   const double threshold = kAskShare * size;
   if (quota.tokens_ < threshold) quota.must_ask_ = true;
   if (quota.tokens_ >= threshold + kHysteresisShare * size) quota.must_ask_ = false;
-  if (quota.must_ask_) reply.must_ask_for_ = kMustAskTime;
+  if (quota.must_ask_) reply.must_ask_for_ = kQuotaMustAskTime;
   last = {sender.incarnation_, reply, now};
   return reply;
 }
@@ -119,11 +115,7 @@
 double RefillShare(const OwnerView& view) {
   // The owner itself counts.
   const double heard = static_cast<double>(view.heard_hosts_ + 1);
-  if (view.is_first_rank_ && view.uptime_ >= kEstablishedTime) {
-    const bool is_cut_off = view.usually_heard_hosts_ >= kMinUsuallyHeard &&
-                            heard < kMinorityShare * view.usually_heard_hosts_;
-    return is_cut_off ? kHeardFactor * heard / view.usually_heard_hosts_ : 1;
-  }
+  if (view.is_first_rank_) return 1;
   if (view.hears_higher_rank_) return kDoubtfulShare;
   const double share = heard / static_cast<double>(std::max<std::size_t>(view.fleet_hosts_, 1));
   // The others probably reach the owner of the highest rank, or have one of their own.
@@ -234,9 +226,11 @@
   return {};
 }
 
-void RefundQuota(HostQuota& quota, Time now) {
+void RefundQuota(HostQuota& quota, Time admitted_at, Time now) {
+  if (now - admitted_at >= kCreditTime) return;
+  if (now >= quota.credit_expires_at_) quota.credit_ = 0;
   ++quota.credit_;
-  quota.credit_expires_at_ = std::max(quota.credit_expires_at_, now + kCreditTime);
+  quota.credit_expires_at_ = std::max(quota.credit_expires_at_, admitted_at + kCreditTime);
 }
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/quota_control.cc
+++ b/src/gateway/internal/quota_control.cc
@@ -19,10 +19,7 @@
 constexpr int kMaxSuspicionDoublings = 3;
 // Interval at which an owner finds out whether the one of the highest rank lives.
 constexpr Duration kRankPingInterval = std::chrono::milliseconds(300);
-// The number of hosts that are usually heard is reduced by this factor in each interval.
-constexpr double kUsuallyHeardDecay = 0.98;
-constexpr Duration kUsuallyHeardInterval = std::chrono::seconds(1);
-// Assumed size of the fleet while the hosts are not known.
+// Assumed size of the fleet while the hosts are not known: that of the large deployments.
 constexpr std::size_t kAssumedHosts = 100;
 
 }  // namespace
@@ -46,6 +43,11 @@
   return {found->rate_per_second_, found->burst_};
 }
 
+bool QuotaControl::KnowsTeam(const std::string& team) const {
+  return state_.configuration_ != nullptr && state_.configuration_->configuration_.teams_ &&
+         state_.configuration_->configuration_.teams_->FindByName(team) != nullptr;
+}
+
 QuotaVerdict QuotaControl::Admit(const Team& team, IQuotaWaiter& waiter, Time now) {
   if (team.rate_per_second_ <= 0) return {};
   TeamState& state = FindTeam(team.name_);
@@ -66,9 +68,9 @@
   for (auto& [name, team] : teams_) std::erase(team.waiters_, &waiter);
 }
 
-void QuotaControl::Refund(const std::string& team, Time now) {
+void QuotaControl::Refund(const std::string& team, Time admitted_at, Time now) {
   const auto found = teams_.find(team);
-  if (found != teams_.end()) RefundQuota(found->second.quota_, now);
+  if (found != teams_.end()) RefundQuota(found->second.quota_, admitted_at, now);
 }
 
 void QuotaControl::AddHost(const HostRecord& host) {
@@ -98,7 +100,7 @@
 QuotaReply QuotaControl::AnswerAsOwner(const QuotaSender& sender, const QuotaRequest& request,
                                        Time now) {
   const QuotaLimit limit = LimitOf(request.team_);
-  // A team that is not known here, or without a limit, is not limited.
+  // The team has no limit in the configuration of this host.
   if (limit.rate_per_second_ <= 0)
     return {request.team_, request.sequence_, request.wanted_, {}, {}};
   TeamState& team = FindTeam(request.team_);
@@ -108,12 +110,10 @@
   if (team.owned_.updated_ == Time{}) team.owned_.updated_ = is_first_rank ? started_at_ : now;
   const auto heard = static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [now](const auto& item) { return IsHeard(item.second, now); }));
-  usually_heard_ = std::max(usually_heard_, static_cast<double>(heard));
   const bool hears_higher_rank =
       std::any_of(ranks.begin(), std::find(ranks.begin(), ranks.end(), self_.name_),
                   [&](const HostName& host) { return IsHeard(hosts_.at(host), now); });
-  const double share = RefillShare(
-      {is_first_rank, now - started_at_, hears_higher_rank, heard, usually_heard_, hosts_.size()});
+  const double share = RefillShare({is_first_rank, hears_higher_rank, heard, hosts_.size()});
   if (hears_higher_rank || !is_first_rank) PingHigherRank(ranks, now);
   const QuotaReply reply =
       ApplyQuotaRequest(team.owned_, limit, Bounds(), share, sender, request, now);
@@ -149,7 +149,7 @@
   QuotaMessage message = {{self_.name_, self_.incarnation_}, self_.peer_address_, {}, {}};
   QuotaReply notice;
   notice.team_ = name;
-  notice.must_ask_for_ = std::chrono::milliseconds(1500);
+  notice.must_ask_for_ = kQuotaMustAskTime;
   message.replies_.push_back(notice);
   const std::string bytes = EncodeQuotaMessage(message);
   for (const auto& [host, known] : hosts_) {
@@ -207,10 +207,6 @@
 
 void QuotaControl::OnTimer() {
   const Time now = Now();
-  if (now - usually_heard_at_ >= kUsuallyHeardInterval) {
-    usually_heard_at_ = now;
-    usually_heard_ *= kUsuallyHeardDecay;
-  }
   for (auto& [name, team] : teams_) {
     HostQuota& quota = team.quota_;
     if (quota.pending_.sequence_ != 0 && now - quota.pending_since_ >= kQuotaReplyTimeout) {
@@ -249,8 +245,8 @@
     if (team.quota_.pending_.sequence_ != 0) {
       next = std::min(next, team.quota_.pending_since_ + kQuotaReplyTimeout);
     } else if (!team.waiters_.empty() || team.quota_.unreported_ > 0) {
-      // The hosts are not known yet.
-      next = std::min(next, Now() + kQuotaReplyTimeout);
+      // Nothing can be sent before the hosts are known.
+      next = std::min(next, hosts_.empty() ? Now() + kQuotaReplyTimeout : Now());
     }
   }
   if (next == Time::max()) return timer_.Clear();
@@ -272,7 +268,10 @@
   }
   QuotaMessage answer = {{self_.name_, self_.incarnation_}, self_.peer_address_, {}, {}};
   for (const QuotaRequest& request : message->requests_) {
-    answer.replies_.push_back(AnswerAsOwner(message->sender_, request, now));
+    // A host that has not read the team yet lets the sender ask the next owner.
+    if (KnowsTeam(request.team_)) {
+      answer.replies_.push_back(AnswerAsOwner(message->sender_, request, now));
+    }
   }
   const bool is_ping = message->requests_.empty() && message->replies_.empty();
   if (is_ping && sender != hosts_.end() && now - sender->second.pinged_at_ >= kRankPingInterval) {
--- a/src/gateway/internal/quota_control.h
+++ b/src/gateway/internal/quota_control.h
@@ -23,7 +23,7 @@
 
   QuotaVerdict Admit(const Team& team, IQuotaWaiter& waiter, Time now) override;
   void Cancel(IQuotaWaiter& waiter) override;
-  void Refund(const std::string& team, Time now) override;
+  void Refund(const std::string& team, Time admitted_at, Time now) override;
 
   // Adds or updates a host of the fleet.
   void AddHost(const HostRecord& host);
@@ -51,6 +51,7 @@
   TeamState& FindTeam(const std::string& name);
   // Finds out whether the owner of the highest rank lives.
   void PingHigherRank(const std::vector<HostName>& ranks, Time now);
+  bool KnowsTeam(const std::string& team) const;
   QuotaBounds Bounds() const;
   // Returns a limit without a rate if the team is unknown or has none.
   QuotaLimit LimitOf(const std::string& team) const;
@@ -76,8 +77,6 @@
   std::map<std::string, TeamState> teams_;
   std::map<HostName, KnownHost> hosts_;  // With this host.
   std::uint64_t hosts_version_ = 1;
-  double usually_heard_ = 0;  // See OwnerView.
-  Time usually_heard_at_{};
   eventloop::Timer timer_;
 };
 
--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -202,7 +202,7 @@
     if (held) events.age_ += std::max(Now() - sent_at - *held, Duration{});
     // A proof without a travel time could be older than it says.
     const auto proof_age = DurationHeader(result.headers_, kProofAgeHeader);
-    if (proof_age && held) {
+    if (proof_age && *proof_age >= Duration{} && held) {
       events.proof_age_ = *proof_age + std::max(Now() - sent_at - *held, Duration{});
     }
   } else if (result.status_ != 0) {
@@ -254,7 +254,7 @@
   const RecordCache& cache = caches_.at(request.kind_);
   const Revision after = request.after_;
   CachedResponse& last = cached_responses_[request.kind_];
-  if (after != 0 && request.era_ != 0 && request.era_ != cache.era_) {
+  if (after != 0 && request.era_ != 0 && cache.era_ != 0 && request.era_ != cache.era_) {
     return RespondHistoryGone(request);
   }
   // A record that was read again can have changed at the same revision.
--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -112,8 +112,12 @@
   // A stale list must not replace newer content; the watch delivers the changes after it. The same
   // holds for the list of a host that is behind; it confirms nothing unless it has the same
   // records.
-  const bool is_current = listed_revision_ >= revision_;
-  revision_ = std::max(revision_, listed_revision_);
+  // If the store itself has no history after the revision of this host, its latest list holds
+  // whatever its revision is: a restored store may not state its era.
+  const bool is_latest_of_store =
+      history_gone_ && consistency_ == Consistency::kLatest && page.contents_.empty();
+  const bool is_current = listed_revision_ >= revision_ || is_latest_of_store;
+  revision_ = is_latest_of_store ? listed_revision_ : std::max(revision_, listed_revision_);
   // Followers get the changes with the age of this response, so a list of the store confirms them
   // before they are passed on.
   const bool confirms = !page.is_stale_;
@@ -121,6 +125,7 @@
   if (page.proof_age_) {
     page.proof_age_ = std::max(*page.proof_age_, Duration(Now() - list_started_at_));
   }
+  if (!is_current) page.proof_age_.reset();
   if (confirms && page.contents_.empty()) Confirm(page.age_, page.proof_age_);
   if (is_current) handler_.on_snapshot_(listed_records_, revision_);
   listed_records_.clear();
--- a/src/gateway/internal/rollout_control.cc
+++ b/src/gateway/internal/rollout_control.cc
@@ -68,7 +68,9 @@
   const Rollout& rollout = found->second;
   const RolloutPhase phase = PhaseOf(rollout.order_.state_, rollout.notice_);
   // A store that was restored, or an operator, may leave nothing but the new version.
-  if (phase == RolloutPhase::kExposing && !rollout.has_old_targets_) return true;
+  if (phase != RolloutPhase::kNewOnly && !rollout.has_old_targets_) return true;
+  // After a roll-out, the new version may be replaced without another order.
+  if (phase == RolloutPhase::kNewOnly && !rollout.has_new_targets_) return true;
   return MayReceive(phase, side, target.version_ == rollout.order_.target_version_,
                     rollout.exposed_targets_.contains(target.id_));
 }
@@ -160,14 +162,18 @@
 void RolloutControl::UpdateTargets(Rollout& rollout, Time now) {
   std::vector<ExposureCandidate> candidates;
   rollout.has_old_targets_ = false;
+  rollout.has_new_targets_ = false;
   const auto service = state_.services_.find(rollout.order_.service_);
   if (service == state_.services_.end()) return;
   for (const auto& [id, target] : service->second.targets_) {
     if (target->record_.version_ != rollout.order_.target_version_) {
       rollout.has_old_targets_ = true;
-    } else if (!target->record_.draining_ && !target->misdirected_ &&
-               WantsRequests(target->notices_, now) &&
-               !state_.evacuated_zones_.contains(target->record_.zone_)) {
+      continue;
+    }
+    rollout.has_new_targets_ = true;
+    if (!target->record_.draining_ && !target->misdirected_ &&
+        WantsRequests(target->notices_, now) &&
+        !state_.evacuated_zones_.contains(target->record_.zone_)) {
       candidates.push_back({id, target->record_.zone_});
     }
   }
@@ -325,7 +331,7 @@
                      {"version", order.target_version_},
                      {"state", Text(state)},
                      {"revision", std::to_string(order.revision_)}});
-  write_(order, state, [this, order, state, now](const StoreWrite& write) {
+  write_(order, state, [this, order, state](const StoreWrite& write) {
     const std::string status(NameOf(kStoreStatusNames, write.status_));
     state_.metrics_.CountRolloutWrite(Text(state), status);
     const bool is_ok = write.status_ == StoreStatus::kOk;
@@ -339,7 +345,7 @@
     // After a conflict the records show which state another host, or a lost response, has written.
     const auto found = rollouts_.find(order.service_);
     if (found == rollouts_.end() || is_ok || write.status_ == StoreStatus::kConflict) return;
-    found->second.next_write_ = now + kUnreachableWriteInterval;
+    found->second.next_write_ = Now() + kUnreachableWriteInterval;
   });
 }
 
@@ -356,6 +362,7 @@
   bool is_active = false;
   for (auto& [service, rollout] : rollouts_) {
     if (IsFinal(rollout.order_.state_)) {
+      UpdateTargets(rollout, now);
       rollout.tally_ = {};
       rollout.counts_.clear();
       continue;
--- a/src/gateway/internal/rollout_control.h
+++ b/src/gateway/internal/rollout_control.h
@@ -47,6 +47,7 @@
     double exposure_credit_ = 0;
     Time confirmed_at_{};  // A deciding host has confirmed that the version is not condemned.
     std::set<TargetId> exposed_targets_;
+    bool has_new_targets_ = true;
     bool has_old_targets_ = true;
     std::uint64_t epoch_ = 0;
     RolloutCounts counts_;  // Of this host.
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -212,8 +212,11 @@
     for (const std::string& zone : present) missing.erase(zone);
     for (const std::string& zone : missing) DeleteRecord(kind, zone);
   } else if (kind == RecordKind::kRollout) {
-    std::erase_if(state_.rollouts_,
-                  [&](const auto& item) { return !present.contains(item.first); });
+    // A copy may lack an order that the operator writes again; see EndHolds.
+    if (holds_.empty()) {
+      std::erase_if(state_.rollouts_,
+                    [&](const auto& item) { return !present.contains(item.first); });
+    }
     state_.has_rollout_list_ = true;
   }
   for (const StoredRecord& record : records) PutRecord(kind, record);
@@ -413,7 +416,12 @@
   state_.metrics_.CountStoreCall(KindName(RecordKind::kHost),
                                  NameOf(kStoreStatusNames, write.status_));
   // A write of an earlier era is lost, and the revision that it returned names another object.
-  if (!OnEra(write.era_, true)) return;
+  if (!OnEra(write.era_, true)) {
+    if (next_registration_ == Time::max() && next_host_list_ == Time::max()) {
+      next_registration_ = Now() + kRegistrationRetryInterval;
+    }
+    return;
+  }
   switch (write.status_) {
     case StoreStatus::kOk:
       is_registered_ = true;
--- a/src/gateway/internal/store_sync_era.cc
+++ b/src/gateway/internal/store_sync_era.cc
@@ -127,6 +127,11 @@
                        {"era", std::to_string(era_.era_)},
                        {"dropped", std::to_string(dropped)}});
     ApplyRecords(kind, records);
+    if (holds_.empty()) {
+      std::erase_if(state_.rollouts_, [this](const auto& item) {
+        return !caches_[RecordKind::kRollout].records_.contains(item.first);
+      });
+    }
     on_change_();
   }
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -76,15 +76,13 @@
 
 struct OwnerView {
   bool is_first_rank_ = true;       // No host of a higher rank is registered.
-  Duration uptime_{};               // Of the process.
   bool hears_higher_rank_ = false;  // A host of a higher rank sent something lately.
   std::size_t heard_hosts_ = 0;     // Other hosts from which something was heard lately.
-  double usually_heard_hosts_ = 0;  // Highest number of them within the last half minute.
   std::size_t fleet_hosts_ = 1;
 };
 
-// Returns the part of a team's rate that an owner may give out. The owner of the highest rank that
-// has run for some time gives out all of it, unless it is in the smaller part of a partition. Any
+// Returns the part of a team's rate that an owner may give out. The owner of the highest rank gives
+// out all of it. Any
 // other one may share the team with an owner that it can't reach. It gives out the part of the
 // hosts from which it hears, and very little if that is the smaller part, or while it hears from
 // the owner of the highest rank.
@@ -153,14 +151,17 @@
 QuotaVerdict DecideWithoutOwner(HostQuota& quota, const QuotaLimit& limit,
                                 const QuotaBounds& bounds, std::size_t fleet_hosts, double random,
                                 Time now);
-// Gives the token of an admitted request back that did not run.
-void RefundQuota(HostQuota& quota, Time now);
+// Gives the token of a request back that was admitted at `admitted_at` and did not run, unless that
+// was so long ago that the token would add to those of a later window.
+void RefundQuota(HostQuota& quota, Time admitted_at, Time now);
 
 // A host that has started asks for this time before it admits: it does not know who is over a
 // limit.
 inline constexpr Duration kMustAskAfterStart = std::chrono::milliseconds(1500);
 // Hosts from which nothing was heard for this time do not count for the share of an owner.
 inline constexpr Duration kQuotaHeardTime = std::chrono::seconds(2);
+// How long a host asks after a notice.
+inline constexpr Duration kQuotaMustAskTime = std::chrono::milliseconds(1500);
 // Time after which a request to an owner is repeated, and after which a repeated one is abandoned.
 // Covers a round trip to another zone and a busy host.
 inline constexpr Duration kQuotaReplyTimeout = std::chrono::milliseconds(50);
--- a/src/http/internal/server_exchange.cc
+++ b/src/http/internal/server_exchange.cc
@@ -62,7 +62,7 @@
 bool ServerExchange::Retract() {
   if (connection_ == nullptr || state_ != State::kStreaming || head_written_) return false;
   connection_->RemoveHeldBytes(held_body_.size());
-  held_body_ = {};
+  std::string().swap(held_body_);
   headers_.clear();
   status_ = 0;
   chunked_ = false;
