--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -112,12 +112,8 @@
   // A stale list must not replace newer content; the watch delivers the changes after it. The same
   // holds for the list of a host that is behind; it confirms nothing unless it has the same
   // records.
-  // If the store itself has no history after the revision of this host, its latest list holds
-  // whatever its revision is: a restored store may not state its era.
-  const bool is_latest_of_store =
-      history_gone_ && consistency_ == Consistency::kLatest && page.contents_.empty();
-  const bool is_current = listed_revision_ >= revision_ || is_latest_of_store;
-  revision_ = is_latest_of_store ? listed_revision_ : std::max(revision_, listed_revision_);
+  const bool is_current = listed_revision_ >= revision_;
+  revision_ = std::max(revision_, listed_revision_);
   // Followers get the changes with the age of this response, so a list of the store confirms them
   // before they are passed on.
   const bool confirms = !page.is_stale_;
--- a/src/gateway/internal/rollout_control.cc
+++ b/src/gateway/internal/rollout_control.cc
@@ -331,7 +331,7 @@
                      {"version", order.target_version_},
                      {"state", Text(state)},
                      {"revision", std::to_string(order.revision_)}});
-  write_(order, state, [this, order, state](const StoreWrite& write) {
+  write_(order, state, [this, order, state, now](const StoreWrite& write) {
     const std::string status(NameOf(kStoreStatusNames, write.status_));
     state_.metrics_.CountRolloutWrite(Text(state), status);
     const bool is_ok = write.status_ == StoreStatus::kOk;
@@ -345,7 +345,7 @@
     // After a conflict the records show which state another host, or a lost response, has written.
     const auto found = rollouts_.find(order.service_);
     if (found == rollouts_.end() || is_ok || write.status_ == StoreStatus::kConflict) return;
-    found->second.next_write_ = Now() + kUnreachableWriteInterval;
+    found->second.next_write_ = now + kUnreachableWriteInterval;
   });
 }
 
