--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -9,6 +9,7 @@
 
 #include "base/base_types.h"
 #include "base/enum_names.h"
+#include "gateway/teams.h"
 #include "http/http_types.h"
 #include "http/server_connection.h"
 
@@ -45,6 +46,7 @@
   Duration latency_objective_{};                 // Zero if there is none.
   int max_attempts_ = 1;                         // Targets that a request may be sent to.
   int priority_ = 0;                             // 0 is the highest priority.
+  bool allows_anonymous_ = false;                // Requests need no API key.
 };
 
 struct ServiceSpec {
@@ -59,6 +61,8 @@
   std::vector<Route> routes_;
   std::map<std::string, ServiceSpec> services_;
   http::ServerLimits limits_;
+  // Empty if the deployment has no teams; requests then need no key.
+  std::optional<TeamTable> teams_;
 };
 
 // Registration of a target, written by the target.
@@ -68,6 +72,7 @@
   std::string zone_;
   std::string address_;  // IP:port.
   int slots_ = 1;        // Requests that it runs concurrently.
+  std::string version_;  // Of its software; empty if unknown.
   bool draining_ = false;
   Duration remaining_cold_time_{};
   std::int64_t started_unix_ms_ = 0;  // Start of its process; distinguishes its incarnations.
@@ -89,20 +94,40 @@
   int capacity_ = 0;  // Of processor and link, 1000 per core; see ReaderRank.
 };
 
-enum class RecordKind { kConfiguration, kTarget, kEvacuation, kHost };
+enum class RolloutState { kOrdered, kRunning, kSucceeded, kRolledBack };
 
-inline constexpr EnumNames<RecordKind, 4> kRecordKindNames = {{
+inline constexpr EnumNames<RolloutState, 4> kRolloutStateNames = {{
+    {RolloutState::kOrdered, "ordered"},
+    {RolloutState::kRunning, "running"},
+    {RolloutState::kSucceeded, "succeeded"},
+    {RolloutState::kRolledBack, "rolled_back"},
+}};
+
+// Order of the operator to replace the version of a service, and how far it was carried out.
+struct RolloutOrder {
+  std::string service_;
+  std::string target_version_;
+  Duration duration_{};  // The state must be final this long after the order.
+  RolloutState state_ = RolloutState::kOrdered;
+  Revision revision_ = 0;  // Of the object in the store.
+};
+
+enum class RecordKind { kConfiguration, kTarget, kEvacuation, kHost, kRollout };
+
+inline constexpr EnumNames<RecordKind, 5> kRecordKindNames = {{
     {RecordKind::kConfiguration, "configuration"},
     {RecordKind::kTarget, "target"},
     {RecordKind::kEvacuation, "evacuation"},
     {RecordKind::kHost, "host"},
+    {RecordKind::kRollout, "rollout"},
 }};
 
 // An object of the store. If it cannot be read, value_ is empty and problem_ describes the error.
 struct StoredRecord {
   std::string name_;
   Revision revision_ = 0;
-  std::variant<std::monostate, Configuration, TargetRecord, EvacuatedZone, HostRecord> value_;
+  std::variant<std::monostate, Configuration, TargetRecord, EvacuatedZone, HostRecord, RolloutOrder>
+      value_;
   std::string problem_;
   std::string text_;  // As received from the store, for other entry hosts.
 };
@@ -124,6 +149,19 @@
   double cold_rate_slack_ = 0;
   Duration stop_time_ = std::chrono::seconds(6);  // Maximum time from SIGTERM to the process exit.
   Duration max_directory_ttl_ = std::chrono::seconds(5);
+  // A request that was sent this long after its key was withdrawn must not run on any host.
+  bool strict_revocation_ = false;
+  Duration revocation_time_ = std::chrono::seconds(5);
+  // Requests of a team that may run in any window: (rate x window + burst) x (1 + overage) + slack.
+  Duration quota_window_ = std::chrono::seconds(5);
+  double quota_overage_ = 0.1;
+  double quota_slack_ = 20;
+  bool has_rollouts_ = false;  // The settings contain a bound on the exposure.
+  // Requests that a version under roll-out may receive: share of its service's requests + slack.
+  double exposure_share_ = 0.1;
+  double exposure_slack_ = 50;
+  // A bad version receives no request that is sent later than this after its 50th bad response.
+  Duration rollback_time_ = std::chrono::seconds(5);
 };
 
 struct GatewaySettings {
@@ -142,9 +180,19 @@
   int capacity_ = 0;
   bool is_bootstrap_ = false;  // First start of the fleet: no host is registered.
   std::int64_t memory_bytes_ = std::int64_t{256} << 20;
-  // Once the deadline of its request has passed, a streamed response is ended after this time
-  // without progress.
+  int max_descriptors_ = 0;  // Of the process; 0: unknown, connections are not limited.
+  // See http::ServerLimits.
+  Duration body_timeout_ = std::chrono::seconds(10);
+  Duration response_timeout_ = std::chrono::seconds(30);
+  std::size_t max_fields_ = http::kMaxRequestFields;
+  // Once the deadline of its request has passed, a streamed response is ended after this time in
+  // which its target sent nothing. Covers the repetition of a lost packet.
+  Duration target_stall_timeout_ = std::chrono::milliseconds(400);
+  // The same for a caller that does not read.
   Duration stream_stall_timeout_ = std::chrono::seconds(30);
+  // Requests of a service that may be sent to a second target while the first one is slow, as a
+  // share of its requests that may be repeated. Empty: only the retry budget limits them.
+  std::optional<double> max_hedge_share_;
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/internal/call.cc
+++ b/src/gateway/internal/call.cc
@@ -47,7 +47,8 @@
     return RespondWithError(400, EndReason::kInvalid, Duration(0), now);
   }
   configuration_ = state_.configuration_;
-  if (configuration_ == nullptr || !state_.has_target_list_) {
+  if (configuration_ == nullptr || !state_.has_target_list_ ||
+      (state_.rollout_gate_ != nullptr && !state_.rollout_gate_->IsReady(now))) {
     return RespondWithError(503, EndReason::kNotReady, kNotReadyRetryDelay, now);
   }
   if (state_.stopping_) return RespondWithError(503, EndReason::kStopping, Duration(0), now);
@@ -55,6 +56,13 @@
   route_ = FindRoute(configuration_->configuration_, configuration_->routes_,
                      host != nullptr ? *host : "", request_.head_.target_);
   if (route_ == nullptr) return RespondWithError(404, EndReason::kNoRoute, Duration(0), now);
+  const KeyAccess access = CheckKey(now);
+  if (access.decision_ != AccessDecision::kAllowed) return EndUnauthorized(access.decision_, now);
+  priority_ = route_->priority_;
+  if (access.team_ != nullptr) {
+    team_ = access.team_->name_;
+    priority_ = access.team_->priority_.value_or(priority_);
+  }
   deadline_ = request_.received_ +
               std::min(route_->timeout_, info_.time_left_.value_or(Duration::max() / 2));
   if (now >= deadline_) return RespondWithError(503, EndReason::kTooLate, Duration(0), now);
@@ -65,9 +73,61 @@
   if (IsIdempotent(route_->kind_)) exchange_->AllowOverlap();
   service_ = SelectService(state_.traffic_split_, *route_);
   CreditRetryBudget(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_, now);
+  if (state_.settings_.max_hedge_share_ && IsIdempotent(route_->kind_)) {
+    EarnHedge(Service().hedge_budget_, *state_.settings_.max_hedge_share_);
+  }
+  if (access.team_ == nullptr || state_.quota_gate_ == nullptr) {
+    return StartSelection(SendPurpose::kFirst, now);
+  }
+  const QuotaVerdict verdict = state_.quota_gate_->Admit(*access.team_, *this, now);
+  if (verdict.action_ != QuotaAction::kWait) return OnQuotaDecided(verdict, now);
+  waits_for_quota_ = true;
+  SetTimer();
+}
+
+void Call::OnQuotaDecided(const QuotaVerdict& verdict, Time now) {
+  const auto self = shared_from_this();
+  waits_for_quota_ = false;
+  switch (verdict.action_) {
+    case QuotaAction::kDeny:
+      return RespondWithError(429, EndReason::kOverQuota, verdict.retry_after_, now);
+    case QuotaAction::kUnknown:
+      return RespondWithError(503, EndReason::kQuotaUnknown, verdict.retry_after_, now);
+    case QuotaAction::kWait:
+    case QuotaAction::kAdmit:
+      break;
+  }
+  charged_team_ = team_;
+  charged_at_ = now;
   StartSelection(SendPurpose::kFirst, now);
 }
 
+KeyAccess Call::CheckKey(Time now) const {
+  const auto& teams = state_.configuration_->configuration_.teams_;
+  if (!teams) return {AccessDecision::kAllowed, nullptr};
+  return CheckAccess(*teams, info_.credential_, route_->allows_anonymous_,
+                     HasKeyProof(state_, now));
+}
+
+TargetCredentials Call::CredentialsForTarget() const {
+  const bool has_teams = configuration_->configuration_.teams_.has_value() ||
+                         state_.configuration_->configuration_.teams_.has_value();
+  return {has_teams, team_};
+}
+
+void Call::EndUnauthorized(AccessDecision decision, Time now) {
+  if (selecting_) EndSelection();
+  if (!attempts_.empty()) return SetTimer();
+  if (error_response_ != nullptr) return RelayResponse(*error_response_);
+  if (possibly_executed_sends_ > 0) {
+    return RespondWithError(502, EndReason::kTargetFailed, Duration(0), now);
+  }
+  if (decision == AccessDecision::kUnproven) {
+    return RespondWithError(503, EndReason::kNoKeyProof, kNotReadyRetryDelay, now);
+  }
+  RespondWithError(401, EndReason::kUnauthorized, Duration(0), now);
+}
+
 Duration Call::ObjectiveLeft(Time now) const {
   if (route_->latency_objective_.count() == 0) return deadline_ - now;
   return request_.received_ + route_->latency_objective_ - now;
@@ -104,10 +164,7 @@
       EvaluateRound(now);
     }
   } else if (now >= hedge_at_) {
-    hedge_at_ = Time::max();
-    if (!selecting_ && !streaming_ && attempts_.size() == 1 && CanRetry(now)) {
-      StartSelection(SendPurpose::kHedge, now);
-    }
+    OnHedgeDue(now);
   }
   if (!is_finished_) SetTimer();
 }
@@ -145,17 +202,22 @@
     CancelAttempts();
     return BreakOffResponse(EndReason::kTimedOut, now);
   }
+  const bool reads_target = has_turn ? exchange_->UnsentBytes() == 0 : !attempt.paused_;
+  if (reads_target) {
+    const Time stalls_at = attempt.last_progress_at_ + state_.settings_.target_stall_timeout_;
+    if (now < stalls_at) {
+      deadline_ = stalls_at;
+      return SetTimer();
+    }
+    attempt.connection_->Cancel();
+    return OnAttemptFailed(attempt, "stalled");
+  }
   const auto position = std::make_pair(attempt.received_bytes_, exchange_->UnsentBytes());
   if (position != last_stream_position_) {
     last_stream_position_ = position;
     deadline_ = now + state_.settings_.stream_stall_timeout_;
     return SetTimer();
   }
-  const bool reads_target = has_turn ? exchange_->UnsentBytes() == 0 : !attempt.paused_;
-  if (reads_target) {
-    attempt.connection_->Cancel();
-    return OnAttemptFailed(attempt, "stalled");
-  }
   if (!has_turn) {
     // The response waits for the ones before it, not for its target.
     deadline_ = now + state_.settings_.stream_stall_timeout_;
@@ -187,6 +249,8 @@
   const int status = attempt.head_.status_;
   if (attempt.streamed_) {
     RecordSuccess(attempt.target_->health_, now);
+    RecordForRollout(attempt, false, now);
+    RecordHedgeResult(attempt, now);
     state_.metrics_.CountSend(service_, "answered");
     RemoveAttempt(attempt);
     CancelAttempts();
@@ -196,7 +260,9 @@
   }
   if (attempt.IsForwardable()) {
     RecordSuccess(attempt.target_->health_, now);
+    RecordForRollout(attempt, false, now);
     RecordInTime(state_.route_timeout_stats_[route_->name_]);
+    RecordHedgeResult(attempt, now);
     UpdateServiceTime(Service().service_times_[static_cast<std::size_t>(route_->kind_)], duration,
                       attempt.slowness_, attempt.nearly_full_);
     state_.metrics_.CountSend(service_, "answered");
@@ -207,7 +273,10 @@
     --possibly_executed_sends_;
     return OnAttemptFailed(attempt, attempt.response_.misdirected_ ? "misdirected" : "refused");
   }
-  if (status >= 300 && status < 500 && attempt.response_.is_signed_) return RelayResponse(attempt);
+  if (status >= 300 && status < 500 && attempt.response_.is_signed_) {
+    RecordForRollout(attempt, false, now);
+    return RelayResponse(attempt);
+  }
   if (status >= 500 && attempt.response_.is_signed_ && !attempt.response_.is_encoded_) {
     for (const auto& item : attempts_) {
       if (item.get() == &attempt) error_response_ = item;
@@ -220,6 +289,9 @@
   const Time now = Now();
   state_.metrics_.CountSend(service_, result);
   last_result_ = result;
+  if (result != "refused" && result != "misdirected" && result != "not_sent") {
+    RecordForRollout(attempt, true, now);
+  }
   logging::LogEvent(logging::LogLevel::kWarning, "send_failed",
                     {{"call", info_.id_},
                      {"target", attempt.target_->record_.id_},
@@ -277,10 +349,25 @@
   WakeQueuedRequest(state_.services_[target->record_.service_], target, Now());
 }
 
+void Call::RecordForRollout(const Attempt& attempt, bool is_failure, Time now) {
+  // Retries and hedges are left out, because they reach the old version only.
+  const bool is_first = send_count_ > 0 && attempt.sent_at_ == first_sent_at_ && !attempt.is_hedge_;
+  if (state_.rollout_gate_ == nullptr || !is_first) return;
+  // Targets of the new version have started lately, and a cold target is slow with any version.
+  if (!is_failure && IsCold(attempt.target_->cold_, attempt.sent_at_)) return;
+  // The exposed requests go to few targets, which are full more often.
+  const double factor = attempt.nearly_full_ ? MakePlacementInputs(now).busy_factor_ : 1;
+  state_.rollout_gate_->Record(
+      attempt.target_->record_, route_->name_, is_failure,
+      std::chrono::duration_cast<Duration>((now - attempt.sent_at_) / factor));
+}
+
 void Call::CancelAttempts(const Attempt* kept) {
   // Closing the connection cancels the request at the target.
   std::erase_if(attempts_, [this, kept](const std::shared_ptr<Attempt>& attempt) {
     if (attempt.get() == kept) return false;
+    // A slow response that is not waited for has taken at least this time.
+    RecordForRollout(*attempt, false, Now());
     --attempt->target_->in_flight_;
     attempt->connection_->Cancel();
     state_.pool_.Release(attempt->connection_);
@@ -299,7 +386,7 @@
   exchange_->BeginChunkedResponse(attempt.head_.status_,
                                   state_.format_.HeadersForCaller(attempt.head_));
   exchange_->WriteChunk(attempt.body_);
-  attempt.body_ = {};
+  std::string().swap(attempt.body_);
   if (exchange_->UnsentBytes() > detail::kMaxUnsentBytes) attempt.PauseReading(true);
   SetTimer();
 }
@@ -319,7 +406,9 @@
   if (exchange_ == nullptr) return Finish(0, EndReason::kCallerGone, now);
   http::Headers headers = state_.format_.HeadersForLocalResponse(info_.id_);
   headers.emplace_back("Content-Type", "text/plain");
-  if (status == 503) headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  if (status == 503 || status == 429)
+    headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  if (status == 401) headers.emplace_back("WWW-Authenticate", "Bearer");
   retry_after_ = retry_after;
   exchange_->Respond(status, headers, NameOf(kEndReasonNames, reason));
   Finish(status, reason, now);
@@ -329,6 +418,13 @@
   if (is_finished_) return;
   is_finished_ = true;
   timer_.Clear();
+  if (waits_for_quota_) state_.quota_gate_->Cancel(*this);
+  if (!charged_team_.empty() && possibly_executed_sends_ == 0) {
+    state_.quota_gate_->Refund(charged_team_, charged_at_, now);
+  }
+  // The call itself is destroyed later.
+  std::string().swap(request_.body_);
+  request_.charge_.reset();
   if (selecting_) EndSelection();
   const Duration total = now - request_.received_;
   const Duration waiting = (first_sent_at_ == Time{} ? now : first_sent_at_) - request_.received_;
@@ -336,7 +432,10 @@
   state_.metrics_.CountRequest(service_, outcome, NameOf(kEndReasonNames, reason));
   state_.metrics_.ObserveDurations(service_, total, waiting, time_at_target_);
   if (reason == EndReason::kAnswered) RecordAnswered(Service().recent_requests_, now);
-  if (reason == EndReason::kOverloaded) RecordRefused(Service().recent_requests_, now);
+  if (reason == EndReason::kOverloaded) {
+    RecordRefused(Service().recent_requests_, now);
+    RecordRefused(Service().recent_by_priority_[priority_], now);
+  }
   LogFinished(status, reason, waiting, total, now);
   owner_.OnCallFinished(*this);
 }
@@ -350,6 +449,7 @@
       {"reason", std::string(NameOf(kEndReasonNames, reason))},
       {"route", route_ != nullptr ? route_->name_ : ""},
       {"service", service_},
+      {"team", team_},
       {"config", configuration_ ? std::to_string(configuration_->configuration_.version_) : ""},
       {"target", attempted_targets_.empty() ? "" : attempted_targets_.back()},
       {"sends", std::to_string(send_count_)},
@@ -358,7 +458,7 @@
       {"probes", std::to_string(probed_targets_.size())},
       {"wait_ms", FormatMilliseconds(waiting)},
       {"total_ms", FormatMilliseconds(total)},
-      {"retry_after_ms", status == 503 ? FormatMilliseconds(retry_after_) : ""},
+      {"retry_after_ms", status == 503 || status == 429 ? FormatMilliseconds(retry_after_) : ""},
       {"caller_timeout_ms", info_.time_left_ ? FormatMilliseconds(*info_.time_left_) : ""},
       {"objective_ms", route_ != nullptr ? FormatMilliseconds(route_->latency_objective_) : ""},
       {"left_ms", deadline_ == Time::max() ? "" : FormatMilliseconds(deadline_ - now)}};
@@ -378,6 +478,9 @@
   hedge_at_ = Time::max();
   exchange_.reset();
   if (!attempts_.empty() && !IsIdempotent(route_->kind_)) {
+    // Nothing is sent again for a caller that has left.
+    std::string().swap(request_.body_);
+    request_.charge_.reset();
     // A non-idempotent request is not cancelled: a caller that returns finds it either executed or
     // not executed, but never interrupted. Nobody slows down its response any more.
     streaming_ = false;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -22,6 +22,10 @@
   kStopping,        // This entry host is stopping.
   kInvalid,         // The request id is missing or a header is invalid.
   kNoRoute,         // No route matches.
+  kUnauthorized,    // The key is missing, invalid or unknown.
+  kNoKeyProof,      // The key may have been withdrawn.
+  kOverQuota,       // The team is over its limit.
+  kQuotaUnknown,    // No host knows what the team has used.
   kNoTarget,        // No target is eligible, or none answers a probe.
   kOverloaded,      // Admission control expects no target to respond in time.
   kTargetsRefused,  // Every target rejected the request without executing it.
@@ -31,12 +35,16 @@
   kCallerGone,      // The caller closed the connection.
 };
 
-inline constexpr EnumNames<EndReason, 12> kEndReasonNames = {{
+inline constexpr EnumNames<EndReason, 16> kEndReasonNames = {{
     {EndReason::kAnswered, "answered"},
     {EndReason::kNotReady, "not_ready"},
     {EndReason::kStopping, "stopping"},
     {EndReason::kInvalid, "invalid"},
     {EndReason::kNoRoute, "no_route"},
+    {EndReason::kUnauthorized, "unauthorized"},
+    {EndReason::kNoKeyProof, "no_key_proof"},
+    {EndReason::kOverQuota, "over_quota"},
+    {EndReason::kQuotaUnknown, "quota_unknown"},
     {EndReason::kNoTarget, "no_target"},
     {EndReason::kOverloaded, "overloaded"},
     {EndReason::kTargetsRefused, "targets_refused"},
@@ -60,7 +68,9 @@
 };
 
 // One request of a caller, from its arrival to the final response.
-class Call : public std::enable_shared_from_this<Call>, private IQueuedRequest {
+class Call : public std::enable_shared_from_this<Call>,
+             private IQueuedRequest,
+             private IQuotaWaiter {
  public:
   Call(GatewayState& state, ICallOwner& owner, http::ServerExchangePtr exchange,
        http::Request request);
@@ -80,6 +90,8 @@
   class Attempt;
   enum class SendPurpose { kFirst, kRetry, kHedge };
 
+  // Starts the selection of a target if the quota of the team admits the request.
+  void OnQuotaDecided(const QuotaVerdict& verdict, Time now) override;
   void StartSelection(SendPurpose purpose, Time now);
   void StartSearch(Time now);
   void StartProbeRound(Time now);
@@ -89,17 +101,41 @@
   void EndWithoutTarget(Time now);
   void EndOverloaded(const AdmissionDecision& decision, Time now);
   void SearchSoon(const TargetPtr& freed, Time now) override;
-  // Searches again if this is the oldest waiting request of its service.
+  WaitingRequest DescribeWaiting(Time now) const override;
+  void GiveUpPlace(Time now) override;
+  // Searches again if this is the next waiting request of its service.
   void OnWaitEnded(Time now);
   // Lets the request wait for a target below its efficient load, then searches again.
   void WaitForTarget(Time now);
   bool MayWidenSearch() const;
   ServiceLoad CurrentServiceLoad(Time now);
   void ReleaseProbes();
+  // Returns whether the target can be sent to now, also by the roll-out of its service.
+  bool MaySendTo(const TargetState& target, Time now) const;
+  // Searches once more among the targets of the old version, if the request was to be exposed to
+  // the new one.
+  bool GiveUpExposure(Time now);
+  // Reports the first attempt of the request to the roll-out of the service.
+  void RecordForRollout(const Attempt& attempt, bool is_failure, Time now);
   void EndSelection();
   bool SendToTarget(Probe& probe, Duration expected, Time now);
+  // Checks the key against the latest configuration. Without teams every request is allowed.
+  KeyAccess CheckKey(Time now) const;
+  // Ends the request, or the search for a further target, because its key is not accepted.
+  void EndUnauthorized(AccessDecision decision, Time now);
+  TargetCredentials CredentialsForTarget() const;
+  // Deployments without teams serve waiting requests in the order of their arrival.
+  bool OrdersByPriority() const { return configuration_->configuration_.teams_.has_value(); }
   Duration ObjectiveLeft(Time now) const;
   bool CanRetry(Time now);
+  // Plans the second request, if the first one may have one.
+  void PlanHedge(Duration expected, Time now);
+  // Returns whether a second request may be sent now, and counts it if it is withheld.
+  bool MayHedge(Time now);
+  // Looks for a second target, or plans to check again.
+  void OnHedgeDue(Time now);
+  // Records the response time, and whether a second request was the faster one.
+  void RecordHedgeResult(const Attempt& answered, Time now);
 
   void OnTimer();
   void SetTimer();
@@ -138,6 +174,11 @@
   ActiveConfigurationPtr configuration_;
   const Route* route_ = nullptr;
   std::string service_;
+  std::string team_;  // Name of the team whose key the request has; empty if anonymous.
+  bool waits_for_quota_ = false;
+  std::string charged_team_;  // Whose quota was charged for the request; may be empty.
+  Time charged_at_{};
+  int priority_ = 0;  // Of the team, or else of the route; 0 is the highest.
   Time deadline_ = Time::max();
   bool is_finished_ = false;
 
@@ -151,6 +192,7 @@
   TargetId freed_target_;  // See SearchSoon; may be empty.
   int searches_ = 0;       // Since the selection started.
   std::vector<ProbePtr> probes_;
+  RolloutSide rollout_side_ = RolloutSide::kOld;
   std::vector<TargetId> probed_targets_;
 
   // Attempts.
@@ -164,6 +206,8 @@
   int possibly_executed_sends_ = 0;  // Sends that the target did not report as not executed.
   Time first_sent_at_{};
   Time hedge_at_ = Time::max();
+  HedgeDecision withheld_hedge_ = HedgeDecision::kSend;  // The last one that was counted.
+  bool is_hedged_ = false;  // A second request was sent while the first one was in progress.
   Duration time_at_target_{};
   std::string last_result_;
   std::string chosen_target_load_;  // Load of the last target when it was chosen.
--- a/src/gateway/internal/call_attempt.cc
+++ b/src/gateway/internal/call_attempt.cc
@@ -35,12 +35,14 @@
 
 void Call::Attempt::Send(Duration time_left) {
   const http::RequestHead& head = call_.request_.head_;
-  connection_->SendRequest(call_.state_.format_.FormatTargetRequest(
-                               head, call_.request_.body_, target_->record_.id_, time_left),
-                           head.method_ == "HEAD", *this);
+  connection_->SendRequest(
+      call_.state_.format_.FormatTargetRequest(head, call_.request_.body_, target_->record_.id_,
+                                               time_left, call_.CredentialsForTarget()),
+      head.method_ == "HEAD", *this);
 }
 
 void Call::Attempt::PauseReading(bool paused) {
+  if (paused_ && !paused) last_progress_at_ = Now();
   paused_ = paused;
   connection_->PauseReading(paused);
 }
@@ -73,9 +75,10 @@
 
 void Call::Attempt::OnBody(std::string& body) {
   received_bytes_ += body.size();
+  last_progress_at_ = Now();
   if (call_.exchange_ == nullptr) {
     // The caller has left, and the request goes on only because it is not idempotent.
-    body_ = {};
+    std::string().swap(body_);
     return body.clear();
   }
   if (streamed_) {
--- a/src/gateway/internal/call_attempt.h
+++ b/src/gateway/internal/call_attempt.h
@@ -44,10 +44,13 @@
   Time sent_at_;
   double slowness_;
   bool nearly_full_;  // The target, with this request.
+  bool is_hedge_ = false;
   http::ResponseHead head_;
   TargetResponseInfo response_;
   std::string body_;
   std::uint64_t received_bytes_ = 0;  // Of the body.
+  // When the last byte of the body arrived, or reading began again after a pause.
+  Time last_progress_at_{};
   // When the attempt fails although its response is not complete, because it is not usable.
   Time give_up_at_ = Time::max();
   bool complete_ = false;
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -77,6 +77,11 @@
   selecting_ = true;
   purpose_ = purpose;
   searches_ = 0;
+  // Only the first send of a request may reach a version under roll-out.
+  if (state_.rollout_gate_ != nullptr) {
+    rollout_side_ = purpose == SendPurpose::kFirst ? state_.rollout_gate_->ChooseSide(service_, now)
+                                                   : RolloutSide::kOld;
+  }
   // The requests that wait have found no target. A new one waits behind them, and is rejected
   // without a search if they already use up its time.
   const ServiceLoad load = CurrentServiceLoad(now);
@@ -85,6 +90,7 @@
     if (load.queued_ < MaxQueuedRequests(load, inputs.service_time_, inputs.objective_left_)) {
       return WaitForTarget(now);
     }
+    if (MakeRoomInQueue(Service(), DescribeWaiting(now), now)) return WaitForTarget(now);
     return EndOverloaded({AdmissionAction::kReject, inputs.service_time_}, now);
   }
   StartSearch(now);
@@ -115,8 +121,19 @@
   SetTimer();
 }
 
+WaitingRequest Call::DescribeWaiting(Time now) const {
+  const ServiceState& service = state_.services_.at(service_);
+  return {OrdersByPriority() ? priority_ : 0, RecentTeamUse(service.team_use_, team_, now),
+          request_.received_};
+}
+
+void Call::GiveUpPlace(Time now) {
+  EndOverloaded({AdmissionAction::kReject, MakePlacementInputs(now).service_time_}, now);
+}
+
 void Call::OnWaitEnded(Time now) {
-  if (Service().queued_requests_.front() == this) {
+  const IQueuedRequest* const self = this;
+  if (NextQueuedRequest(Service(), now) == self) {
     waiting_ = false;
     return StartSearch(now);
   }
@@ -140,7 +157,7 @@
   std::vector<Candidate> remote;
   std::vector<std::uint64_t> affinities;
   for (const auto& [id, target] : Service().targets_) {
-    if (!CanSendNow(state_, *target, now)) continue;
+    if (!MaySendTo(*target, now)) continue;
     const bool same_zone = target->record_.zone_ == state_.settings_.zone_;
     if (same_zone) affinities.push_back(target->affinity_);
     if (Contains(probed_targets_, id) || Contains(attempted_targets_, id)) continue;
@@ -204,7 +221,7 @@
   std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < probes_.size(); ++i) {
     if (!probes_[i]->IsAnswered() || probes_[i]->IsRunning()) continue;
-    if (!CanSendNow(state_, *probes_[i]->Target(), now)) continue;
+    if (!MaySendTo(*probes_[i]->Target(), now)) continue;
     Candidate candidate = MakeCandidate(*probes_[i]->Target(), i, now);
     candidate.load_ = probes_[i]->Load();
     candidate.just_freed_ = probes_[i]->Target()->record_.id_ == freed_target_;
@@ -218,6 +235,13 @@
   PlacementInputs inputs = MakePlacementInputs(now);
   inputs.leaves_last_slot_ =
       !TakesLastSlot(Service().recent_requests_, queued_, now, state_.random_);
+  ServiceLoad load = CurrentServiceLoad(now);
+  const double refused = OrdersByPriority() ? RefusedMoreUrgent(Service(), priority_, now) : 0;
+  if (refused > 0) {
+    load.yields_ =
+        YieldsToUrgent(refused, std::uniform_real_distribution<double>(0, 1)(state_.random_));
+  }
+  inputs.leaves_last_slot_ = inputs.leaves_last_slot_ || load.yields_;
   while (true) {
     const auto chosen = ChooseTarget(candidates, inputs);
     const auto best = std::find_if(candidates.begin(), candidates.end(), [&](const auto& item) {
@@ -229,12 +253,18 @@
     if (widen && round_ < kMaxProbeRounds && probed_targets_.size() < Service().targets_.size()) {
       return StartProbeRound(now);
     }
-    if (!found) return EndWithoutTarget(now);
+    if (!found) {
+      if (GiveUpExposure(now)) return;
+      return EndWithoutTarget(now);
+    }
     chosen_target_load_ = FormatLoad(best->load_);
     expected_response_time_ = ExpectedResponseTime(*best, inputs);
-    const AdmissionDecision decision =
-        DecideAdmission(*best, inputs, expected_response_time_, deadline_ - now, ObjectiveLeft(now),
-                        CurrentServiceLoad(now));
+    const AdmissionDecision decision = DecideAdmission(*best, inputs, expected_response_time_,
+                                                       deadline_ - now, ObjectiveLeft(now), load);
+    // A queue at the few exposed targets would count as slowness of the new version.
+    const bool has_room =
+        !best->load_ || best->load_->running_ + best->load_->waiting_ < best->load_->slots_;
+    if ((decision.action_ != AdmissionAction::kSend || !has_room) && GiveUpExposure(now)) return;
     if (decision.action_ == AdmissionAction::kQueue && attempts_.empty()) return WaitForTarget(now);
     if (decision.action_ != AdmissionAction::kSend) return EndOverloaded(decision, now);
     // A hedged request is sent only if the target is likely to respond quickly.
@@ -242,11 +272,30 @@
       EndSelection();
       return SetTimer();
     }
+    // The key may have been withdrawn while the request waited, or since its last send.
+    const KeyAccess access = CheckKey(now);
+    if (access.decision_ != AccessDecision::kAllowed) return EndUnauthorized(access.decision_, now);
+    team_ = access.team_ == nullptr ? std::string() : access.team_->name_;
     if (SendToTarget(*probes_[best->index_], expected_response_time_, now)) return;
     candidates.erase(best);
   }
 }
 
+bool Call::MaySendTo(const TargetState& target, Time now) const {
+  return CanSendNow(state_, target, now) &&
+         (state_.rollout_gate_ == nullptr ||
+          state_.rollout_gate_->MayUse(target.record_, rollout_side_, now));
+}
+
+bool Call::GiveUpExposure(Time now) {
+  if (rollout_side_ != RolloutSide::kNew) return false;
+  rollout_side_ = RolloutSide::kOld;
+  searches_ = 0;
+  ReleaseProbes();
+  StartSearch(now);
+  return true;
+}
+
 void Call::EndWithoutTarget(Time now) {
   EndSelection();
   if (!attempts_.empty()) return SetTimer();
@@ -274,6 +323,7 @@
   if (std::exchange(queued_, false)) {
     IQueuedRequest* const self = this;
     std::erase(Service().queued_requests_, self);
+    ++Service().queue_turn_;
     WakeQueuedRequest(Service(), nullptr, Now());
   }
   ReleaseProbes();
@@ -303,8 +353,10 @@
     if (connection == nullptr) return false;
   }
   if (send_count_ > 0) {
-    if (!ConsumeRetryToken(Service().retry_budget_, state_.settings_.bounds_, state_.fleet_size_,
-                           now)) {
+    // Other requests may have used the allowance since the search began.
+    const bool is_withheld = purpose_ == SendPurpose::kHedge && !MayHedge(now);
+    if (is_withheld || !ConsumeRetryToken(Service().retry_budget_, state_.settings_.bounds_,
+                                          state_.fleet_size_, now)) {
       state_.pool_.Release(connection);
       return false;
     }
@@ -324,16 +376,21 @@
   if (first_sent_at_ == Time{}) first_sent_at_ = now;
   if (IsCold(target->cold_, now)) state_.metrics_.CountColdSend(service_);
   RecordSend(state_, *target, now);
+  if (!team_.empty()) RecordTeamUse(Service().team_use_, team_, now);
   EndSelection();
   auto attempt =
       std::make_shared<Attempt>(*this, target, std::move(connection), now, slowness, nearly_full);
   attempts_.push_back(attempt);
-  hedge_at_ = Time::max();
-  if (IsIdempotent(route_->kind_) && send_count_ < route_->max_attempts_ && attempts_.size() == 1) {
-    hedge_at_ =
-        now + HedgeDelay(MakePlacementInputs(now).service_time_, expected, ObjectiveLeft(now));
+  attempt->is_hedge_ = purpose_ == SendPurpose::kHedge;
+  if (attempt->is_hedge_) {
+    is_hedged_ = true;
+    ConsumeHedge(Service().hedge_budget_);
+    state_.metrics_.CountHedge(service_, "sent");
   }
+  PlanHedge(expected, now);
   attempt->Send(deadline_ - now);
+  // The last attempt: the request is never sent again.
+  if (send_count_ >= route_->max_attempts_) std::string().swap(request_.body_);
   SetTimer();
   return true;
 }
--- a/src/gateway/internal/counted_store.h
+++ b/src/gateway/internal/counted_store.h
@@ -13,7 +13,7 @@
   int writes_ = 0;
 };
 
-// Passes calls on to the store and counts them.
+// Passes calls on to the store, counts them, and states how long ago each call was made.
 class CountedStore : public IRecordStore {
  public:
   explicit CountedStore(IRecordStore& store) : store_(store) {}
@@ -25,6 +25,8 @@
   void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) override;
   void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                    WriteCallback callback) override;
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                         WriteCallback callback) override;
 
   // Returns the calls since the last time.
   StoreCallCounts TakeCounts();
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -13,6 +13,9 @@
 #include "gateway/internal/call.h"
 #include "gateway/internal/gateway_state.h"
 #include "gateway/internal/peer_socket.h"
+#include "gateway/internal/query_server.h"
+#include "gateway/internal/quota_control.h"
+#include "gateway/internal/rollout_control.h"
 #include "gateway/internal/store_sync.h"
 #include "gateway/zone_peers.h"
 #include "http/listener.h"
@@ -32,6 +35,9 @@
 // The same while the host waits for its last calls and connections, so that it ends soon after
 // them.
 constexpr Duration kDrainTickInterval = std::chrono::milliseconds(50);
+// Time from the first list of hosts until those of the zone have answered a ping: two ticks, as the
+// hosts may have started at the same time.
+constexpr Duration kPeerDiscoveryTime = std::chrono::milliseconds(500);
 // Ticks between two updates of the metrics gauges.
 constexpr int kTicksPerMetricsUpdate = 8;
 // Share of the stop time during which requests are still accepted. In this phase most callers learn
@@ -53,8 +59,13 @@
 constexpr double kMaxConnectionMarginShare = 1.0 / 12;
 // Maximum number of entry hosts that are notified about a failed target.
 constexpr std::size_t kMaxFailureRecipients = 16;
-// Request bodies may use the memory limit divided by this number.
+// Request bodies that were not started may use the memory limit divided by this number.
 constexpr int kBodyMemoryShare = 4;
+// All that caller connections hold may use the memory limit divided by this number. The body of a
+// started request exists a second time while it is sent to its target; the rest is for the process.
+constexpr int kHeldMemoryShare = 3;
+// Interval between two log lines about rejected requests with the same reason.
+constexpr Duration kRejectionLogInterval = std::chrono::seconds(10);
 
 Duration CallStopTime(Duration stop_time) {
   return std::max(std::chrono::duration_cast<Duration>(stop_time * kMinCallStopShare),
@@ -75,43 +86,6 @@
           {"unsent_bytes", std::to_string(counts.unsent_bytes_)}};
 }
 
-// HTTP server for one kind of short query: directory, readiness, metrics or records.
-class QueryServer : public http::IServerHandler {
- public:
-  using Handler = std::function<void(const http::ServerExchangePtr&, const http::Request&)>;
-  explicit QueryServer(Handler handler) : handler_(std::move(handler)), connections_(*this) {}
-
-  Result<void> Listen(const std::string& address) {
-    if (address.empty()) return {};
-    BOOST_LEAF_ASSIGN(listener_, http::Listener::Open(address, [this](int descriptor) {
-                        connections_.Accept(descriptor);
-                      }));
-    return {};
-  }
-  void OnRequest(const http::ServerExchangePtr& exchange, http::Request request) override {
-    handler_(exchange, request);
-  }
-  void OnCallerDisconnected(const http::ServerExchangePtr& exchange) override {
-    if (on_caller_gone_ != nullptr) on_caller_gone_(exchange);
-  }
-  void OnResponseFlushed(const http::ServerExchangePtr& /*exchange*/) override {}
-  void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
-
-  // Closes every connection after its next response, and those that are idle at once. Returns
-  // whether none is left.
-  bool CloseConnections() {
-    connections_.SetCloseAfterResponse(true);
-    connections_.CloseIdle();
-    if (listener_ != nullptr) listener_->AcceptAll();
-    return connections_.Count() == 0;
-  }
-
-  Handler handler_;
-  std::function<void(const http::ServerExchangePtr&)> on_caller_gone_;
-  http::ServerConnections connections_;
-  std::unique_ptr<http::Listener> listener_;
-};
-
 class GatewayImpl : public Gateway, private http::IServerHandler, private ICallOwner {
  public:
   GatewayImpl(const GatewaySettings& settings, const ICallFormat& format,
@@ -119,20 +93,26 @@
               std::uint64_t seed)
       : settings_(settings),
         state_(settings_, format, seed),
-        caller_connections_(*this),
-        directory_server_([this](const auto& exchange, const auto& request) {
-          RespondToDirectoryQuery(exchange, request);
-        }),
-        readiness_server_([this](const auto& exchange, const auto& request) {
-          RespondToReadinessQuery(exchange, request);
-        }),
-        metrics_server_([this](const auto& exchange, const auto& /*request*/) {
-          exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                            state_.metrics_.Format());
-        }),
-        record_server_([this](const auto& exchange, const auto& request) {
-          store_sync_.Server().OnRequest(exchange, request);
-        }),
+        memory_account_(std::make_shared<http::MemoryAccount>(
+            static_cast<std::size_t>(settings_.memory_bytes_ / kHeldMemoryShare))),
+        caller_connections_(*this, memory_account_),
+        directory_server_(settings_, memory_account_,
+                          [this](const auto& exchange, const auto& request) {
+                            RespondToDirectoryQuery(exchange, request);
+                          }),
+        readiness_server_(settings_, memory_account_,
+                          [this](const auto& exchange, const auto& request) {
+                            RespondToReadinessQuery(exchange, request);
+                          }),
+        metrics_server_(settings_, memory_account_,
+                        [this](const auto& exchange, const auto& /*request*/) {
+                          exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                                            state_.metrics_.Format());
+                        }),
+        record_server_(settings_, memory_account_,
+                       [this](const auto& exchange, const auto& request) {
+                         store_sync_.Server().OnRequest(exchange, request);
+                       }),
         self_{settings_.name_,
               settings_.zone_,
               settings_.front_address_,
@@ -142,10 +122,29 @@
               settings_.capacity_},
         store_sync_(
             store, record_format, state_, self_, [this] { OnStateChanged(); },
-            [this](const HostRecord& host) { AddOrUpdatePeer(peers_, host); },
+            [this](const HostRecord& host) {
+              AddOrUpdatePeer(peers_, host);
+              quota_control_.AddHost(host);
+              rollout_control_.AddHost(host);
+            },
             // An acknowledgement without a ping: it needs no response.
             [this] { Broadcast(PeerMessageType::kAck, {}); }),
+        quota_control_(state_, self_,
+                       [this](const std::string& address, const std::string& bytes) {
+                         peer_socket_->Send(address, bytes);
+                       }),
+        rollout_control_(
+            state_, self_,
+            [this](const std::string& address, const std::string& bytes) {
+              peer_socket_->Send(address, bytes);
+            },
+            [this](const RolloutOrder& order, RolloutState state,
+                   IRecordStore::WriteCallback callback) {
+              store_sync_.WriteRolloutState(order, state, std::move(callback));
+            }),
         tick_timer_(g_main_context_get_thread_default(), [this] { OnTick(); }) {
+    state_.quota_gate_ = &quota_control_;
+    if (settings_.bounds_.has_rollouts_) state_.rollout_gate_ = &rollout_control_;
     peers_.self_ = self_;
     state_.zone_hosts_ = {settings_.name_};
     state_.on_target_failed_ = [this](const TargetId& target) { BroadcastTargetFailure(target); };
@@ -154,6 +153,8 @@
     };
     caller_connections_.SetMaxBufferedBytes(
         static_cast<std::size_t>(settings_.memory_bytes_ / kBodyMemoryShare));
+    caller_connections_.SetLimits(WithSettings({}, settings_));
+    caller_connections_.SetMaxConnections(MaxCallerConnections(settings_));
   }
 
   // A response that is still being sent, or a request that is still being read, is lost here.
@@ -171,6 +172,7 @@
                       http::Listener::Open(settings_.front_address_, [this](int descriptor) {
                         caller_connections_.Accept(descriptor);
                       }));
+    caller_listener_->SetMayAccept([this] { return caller_connections_.MakeRoom(); });
     BOOST_LEAF_CHECK(directory_server_.Listen(settings_.directory_address_));
     BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness_address_));
     BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics_address_));
@@ -185,10 +187,21 @@
 
   void Stop() override { HandleLifecycleEvent(LifecycleEvent::kStop); }
 
-  void Reload(const GatewaySettings& settings) override { settings_.bounds_ = settings.bounds_; }
+  void Reload(const GatewaySettings& settings) override {
+    // Whether the orders are read is decided at the start.
+    const bool has_rollouts = settings_.bounds_.has_rollouts_;
+    settings_.bounds_ = settings.bounds_;
+    settings_.bounds_.has_rollouts_ = has_rollouts;
+  }
   bool IsStopped() const override { return lifecycle_state_ == LifecycleState::kStopped; }
 
  private:
+  // Requests that a connection rejected for one reason.
+  struct Rejections {
+    std::uint64_t count_ = 0;
+    Time logged_at_{};
+  };
+
   bool IsServing() const { return lifecycle_state_ == LifecycleState::kServing; }
 
   void HandleLifecycleEvent(LifecycleEvent event) {
@@ -259,9 +272,15 @@
   }
 
   void OnStateChanged() {
+    const Time now = Now();
+    if (state_.rollout_gate_ != nullptr) rollout_control_.OnRecords(now);
     if (state_.configuration_ != nullptr) {
-      caller_connections_.SetLimits(state_.configuration_->configuration_.limits_);
-      if (state_.has_target_list_) HandleLifecycleEvent(LifecycleEvent::kConfigured);
+      caller_connections_.SetLimits(
+          WithSettings(state_.configuration_->configuration_.limits_, settings_));
+      const bool knows_orders = state_.rollout_gate_ == nullptr || rollout_control_.IsReady(now);
+      if (state_.has_target_list_ && knows_orders) {
+        HandleLifecycleEvent(LifecycleEvent::kConfigured);
+      }
     }
   }
 
@@ -272,10 +291,16 @@
     ExpireProbes(now);
     caller_connections_.CheckTimeouts(now);
     for (QueryServer* server : QueryServers()) server->connections_.CheckTimeouts(now);
+    memory_account_->ShedIfShort(now);
+    memory_account_->ReleaseFreedMemory(now);
     state_.pool_.CloseExpired(now);
     RemoveExpiredTargets(state_, now);
     EndTargetPauses(state_, now);
     UpdatePeers(now);
+    if (state_.rollout_gate_ != nullptr) {
+      rollout_control_.Update(now);
+      if (lifecycle_state_ == LifecycleState::kStarting) OnStateChanged();
+    }
     store_sync_.OnTick(FindReaders(peers_, now), now);
     if (++tick_count_ % kTicksPerMetricsUpdate == 0) UpdateGauges(now);
     AdvanceStop(now);
@@ -329,12 +354,28 @@
       state_.zone_hosts_.push_back(peer->record_.name_);
     }
     state_.fleet_size_ = std::max(store_sync_.KnownHostCount(), peers_.peers_.size() + 1);
+    if (zone_hosts_listed_at_ == Time{} && store_sync_.KnownHostCount() > 0) {
+      zone_hosts_listed_at_ = now;
+    }
+    state_.knows_zone_hosts_ =
+        zone_hosts_listed_at_ != Time{} &&
+        (peers_.peers_.empty() || now - zone_hosts_listed_at_ >= kPeerDiscoveryTime);
   }
 
   void UpdateGauges(Time now) {
     state_.metrics_.SetGauge("calls", static_cast<double>(calls_.size()));
     state_.metrics_.SetGauge("caller_connections",
                              static_cast<double>(caller_connections_.Count()));
+    state_.metrics_.SetGauge("held_bytes", static_cast<double>(memory_account_->HeldBytes()));
+    state_.metrics_.SetGauge("connections_shed", static_cast<double>(memory_account_->ShedCount()));
+    std::uint64_t replaced = caller_connections_.ReplacedCount();
+    std::uint64_t pauses = caller_listener_ != nullptr ? caller_listener_->PauseCount() : 0;
+    for (const QueryServer* server : QueryServers()) {
+      replaced += server->connections_.ReplacedCount();
+      if (server->listener_ != nullptr) pauses += server->listener_->PauseCount();
+    }
+    state_.metrics_.SetGauge("connections_replaced", static_cast<double>(replaced));
+    state_.metrics_.SetGauge("accept_pauses", static_cast<double>(pauses));
     state_.metrics_.SetGauge("target_connections", static_cast<double>(state_.pool_.OpenCount()));
     state_.metrics_.SetGauge("targets", static_cast<double>(state_.targets_.size()));
     state_.metrics_.SetGauge("zone_hosts", static_cast<double>(state_.zone_hosts_.size()));
@@ -384,6 +425,11 @@
   }
 
   void OnDatagram(std::string_view bytes) {
+    if (IsQuotaMessage(bytes)) return quota_control_.OnMessage(bytes, Now());
+    if (IsRolloutMessage(bytes)) {
+      if (state_.rollout_gate_ != nullptr) rollout_control_.OnMessage(bytes, Now());
+      return;
+    }
     const auto message = DecodePeerMessage(bytes);
     if (!message) {
       logging::LogEvent(logging::LogLevel::kWarning, "peer_message_malformed",
@@ -448,6 +494,9 @@
     calls_[call.get()] = call;
     calls_by_exchange_[exchange.get()] = call.get();
     call->Start(now);
+    // A call that ended at once is not on the stack any more. One read may hold thousands of such
+    // requests, so they are not kept until the next tick.
+    if (!finished_calls_.empty() && finished_calls_.back() == call) finished_calls_.pop_back();
   }
 
   bool MayOverlap(const http::RequestHead& head) const override {
@@ -474,8 +523,17 @@
 
   void OnRejected(int status, std::string_view reason) override {
     state_.metrics_.CountRequest("", "failed", reason);
+    Rejections& rejections = rejections_[std::string(reason)];
+    ++rejections.count_;
+    const Time now = Now();
+    if (rejections.logged_at_ != Time{} && now - rejections.logged_at_ < kRejectionLogInterval) {
+      return;
+    }
+    rejections.logged_at_ = now;
     logging::LogEvent(logging::LogLevel::kWarning, "request_rejected",
-                      {{"status", std::to_string(status)}, {"reason", std::string(reason)}});
+                      {{"status", std::to_string(status)},
+                       {"reason", std::string(reason)},
+                       {"total", std::to_string(rejections.count_)}});
   }
 
   void OnCallFinished(Call& call) override {
@@ -497,6 +555,7 @@
 
   GatewaySettings settings_;
   GatewayState state_;
+  std::shared_ptr<http::MemoryAccount> memory_account_;
   http::ServerConnections caller_connections_;
   std::unique_ptr<http::Listener> caller_listener_;
   QueryServer directory_server_;
@@ -507,8 +566,11 @@
   std::unique_ptr<PeerSocket> peer_socket_;
   ZonePeers peers_;
   StoreSync store_sync_;
+  QuotaControl quota_control_;
+  RolloutControl rollout_control_;
   eventloop::Timer tick_timer_;
   int tick_count_ = 0;
+  Time zone_hosts_listed_at_{};
   lifecycle::LifecycleMachine machine_;
   LifecycleState lifecycle_state_ = LifecycleState::kStarting;
   Time stop_started_{};
@@ -518,6 +580,7 @@
   std::map<http::ServerExchange*, Call*> calls_by_exchange_;
   std::vector<CallPtr> finished_calls_;
   std::vector<ProbePtr> detached_probes_;
+  std::map<std::string, Rejections> rejections_;  // By reason.
 };
 
 }  // namespace
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -33,6 +33,14 @@
         retries_(Counter("monsoonshelf_gateway_repeats_total", "Repeated sends", labels)),
         cold_sends_(
             Counter("monsoonshelf_gateway_cold_sends_total", "Sends to cold targets", labels)),
+        rollout_responses_(Counter("monsoonshelf_gateway_rollout_responses_total",
+                                   "Responses of services under roll-out", labels)),
+        rollout_writes_(Counter("monsoonshelf_gateway_rollout_writes_total",
+                                "Writes of the state of a roll-out", labels)),
+        quotas_(Counter("monsoonshelf_gateway_quota_decisions_total",
+                        "Decisions on the quotas of teams", labels)),
+        hedges_(Counter("monsoonshelf_gateway_hedges_total",
+                        "Second requests by result, or by the reason to withhold them", labels)),
         probes_(Counter("monsoonshelf_gateway_probes_total", "Health requests by result", labels)),
         store_calls_(
             Counter("monsoonshelf_gateway_store_calls_total", "Calls to the store", labels)),
@@ -49,6 +57,8 @@
                                    "Responses of another host that holds other records", labels)),
         source_changes_(Counter("monsoonshelf_gateway_source_changes_total",
                                 "Changes of the source of the records by cause", labels)),
+        store_eras_(Counter("monsoonshelf_gateway_store_era_events_total",
+                            "Restores of the store and their effects by event", labels)),
         total_(Histogram("monsoonshelf_gateway_request_seconds", "From request to answer", labels)),
         waiting_(
             Histogram("monsoonshelf_gateway_waiting_seconds", "Before the first send", labels)),
@@ -73,6 +83,10 @@
   CounterFamily& sends_;
   CounterFamily& retries_;
   CounterFamily& cold_sends_;
+  CounterFamily& rollout_responses_;
+  CounterFamily& rollout_writes_;
+  CounterFamily& quotas_;
+  CounterFamily& hedges_;
   CounterFamily& probes_;
   CounterFamily& store_calls_;
   CounterFamily& directory_queries_;
@@ -81,6 +95,7 @@
   CounterFamily& content_overdue_;
   CounterFamily& differing_records_;
   CounterFamily& source_changes_;
+  CounterFamily& store_eras_;
   HistogramFamily& total_;
   HistogramFamily& waiting_;
   HistogramFamily& at_target_;
@@ -127,6 +142,29 @@
   families_->cold_sends_.Add({{"service", ToString(service)}}).Increment();
 }
 
+void GatewayMetrics::CountQuota(std::string_view team, std::string_view action) {
+  families_->quotas_.Add({{"team", ToString(team)}, {"action", ToString(action)}}).Increment();
+}
+
+void GatewayMetrics::CountRolloutResponse(std::string_view service, std::string_view version,
+                                          std::string_view result) {
+  families_->rollout_responses_
+      .Add({{"service", ToString(service)},
+            {"version", ToString(version)},
+            {"result", ToString(result)}})
+      .Increment();
+}
+
+void GatewayMetrics::CountRolloutWrite(std::string_view state, std::string_view status) {
+  families_->rollout_writes_.Add({{"state", ToString(state)}, {"status", ToString(status)}})
+      .Increment();
+}
+
+void GatewayMetrics::CountHedge(std::string_view service, std::string_view result) {
+  families_->hedges_.Add({{"service", ToString(service)}, {"result", ToString(result)}})
+      .Increment();
+}
+
 void GatewayMetrics::CountProbe(std::string_view result) {
   families_->probes_.Add({{"result", ToString(result)}}).Increment();
 }
@@ -153,6 +191,10 @@
   families_->source_changes_.Add({{"cause", ToString(cause)}}).Increment();
 }
 
+void GatewayMetrics::CountStoreEra(std::string_view event, double count) {
+  families_->store_eras_.Add({{"event", ToString(event)}}).Increment(count);
+}
+
 void GatewayMetrics::CountDirectoryQuery() { families_->directory_queries_.Add({}).Increment(); }
 
 void GatewayMetrics::SetGauge(std::string_view name, double value) {
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -23,6 +23,14 @@
   void CountSend(std::string_view service, std::string_view result);
   void CountRetry(std::string_view service, std::string_view reason);
   void CountColdSend(std::string_view service);
+  // Counts a decision on the quota of a team.
+  void CountQuota(std::string_view team, std::string_view action);
+  // Counts a second request by what became of it: sent, won, lost, or the reason to withhold it.
+  void CountHedge(std::string_view service, std::string_view result);
+  // Counts a response to a request of a service under roll-out, and a write of its state.
+  void CountRolloutResponse(std::string_view service, std::string_view version,
+                            std::string_view result);
+  void CountRolloutWrite(std::string_view state, std::string_view status);
   void CountProbe(std::string_view result);
   void CountStoreCall(std::string_view kind, std::string_view status);
   void CountDirectoryQuery();
@@ -33,6 +41,9 @@
   void CountContentOverdue();
   // Counts a response of another host after which this host holds other records than that one.
   void CountDifferingRecords(std::string_view kind);
+  // Counts what follows a restore of the store from a copy: seen, ignored, held_over, dropped,
+  // written_again, registration_kept.
+  void CountStoreEra(std::string_view event, double count = 1);
   // Counts a change of the source that the records are read from. `cause` is the one in its log
   // line `source_chosen`.
   void CountSourceChange(std::string_view cause);
--- a/src/gateway/internal/gateway_state.h
+++ b/src/gateway/internal/gateway_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <array>
-#include <deque>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,11 +13,15 @@
 #include "base/address.h"
 #include "gateway/admission.h"
 #include "gateway/concurrency.h"
+#include "gateway/fair_queue.h"
 #include "gateway/gateway_types.h"
+#include "gateway/hedging.h"
 #include "gateway/icall_format.h"
 #include "gateway/internal/gateway_metrics.h"
 #include "gateway/limits.h"
 #include "gateway/placement.h"
+#include "gateway/quota.h"
+#include "gateway/rollout.h"
 #include "gateway/routing.h"
 #include "gateway/target_health.h"
 #include "gateway/target_notices.h"
@@ -60,14 +64,54 @@
   // Lets the request look for a target soon. `freed`, if not null, is a target from which this host
   // has just received a response.
   virtual void SearchSoon(const TargetPtr& freed, Time now) = 0;
+  virtual WaitingRequest DescribeWaiting(Time now) const = 0;
+  // Rejects the request, whose place in the queue goes to a more urgent one.
+  virtual void GiveUpPlace(Time now) = 0;
+};
+
+// A request that waits for the quota of its team.
+class IQuotaWaiter {
+ public:
+  virtual ~IQuotaWaiter() = default;
+  virtual void OnQuotaDecided(const QuotaVerdict& verdict, Time now) = 0;
+};
+
+// Decides on requests by the quota of their team.
+class IQuotaGate {
+ public:
+  virtual ~IQuotaGate() = default;
+  // With kWait, the waiter is called later, unless it is cancelled before.
+  virtual QuotaVerdict Admit(const Team& team, IQuotaWaiter& waiter, Time now) = 0;
+  virtual void Cancel(IQuotaWaiter& waiter) = 0;
+  // Gives back what a request was admitted with that did not run.
+  virtual void Refund(const std::string& team, Time admitted_at, Time now) = 0;
+};
+
+// Decides which versions of a service a request may be sent to. Null where there are no roll-outs.
+class IRolloutGate {
+ public:
+  virtual ~IRolloutGate() = default;
+  // Returns whether the orders are known, so that requests may be sent.
+  virtual bool IsReady(Time now) const = 0;
+  // Returns the versions that a new request of the service may be sent to, and counts it.
+  virtual RolloutSide ChooseSide(const std::string& service, Time now) = 0;
+  virtual bool MayUse(const TargetRecord& target, RolloutSide side, Time now) = 0;
+  // Records the first response to a request, or a failure.
+  virtual void Record(const TargetRecord& target, const std::string& route, bool is_failure,
+                      Duration duration) = 0;
 };
 
 struct ServiceState {
   std::map<TargetId, TargetPtr> targets_;
   RetryBudget retry_budget_;
+  HedgeBudget hedge_budget_;
+  std::array<ResponseTimes, kRequestKindNames.size()> response_times_;  // By RequestKind.
   RecentRequests recent_requests_;
-  // Requests that wait for a target below its efficient load, the oldest first.
-  std::deque<IQueuedRequest*> queued_requests_;
+  // Requests that wait for a target below its efficient load; see NextQueuedRequest.
+  std::vector<IQueuedRequest*> queued_requests_;
+  std::uint64_t queue_turn_ = 0;  // Requests that have left the queue.
+  TeamUse team_use_;
+  std::map<int, RecentRequests> recent_by_priority_;
   std::array<ServiceTimeEstimate, kRequestKindNames.size()> service_times_;  // By RequestKind.
 };
 
@@ -81,12 +125,17 @@
   http::ConnectionPool pool_;
   Random random_;
   ActiveConfigurationPtr configuration_;
+  // Start of the last call to the store that confirmed the configuration in effect.
+  Time configuration_proved_at_{};
   std::map<std::string, ServiceState> services_;
   std::map<TargetId, TargetPtr> targets_;
   std::set<std::string> evacuated_zones_;
   TrafficSplit traffic_split_;
   std::unordered_map<std::string, RouteTimeoutStats> route_timeout_stats_;  // By route name.
   std::vector<HostName> zone_hosts_;  // Serving hosts of the own zone, including this host.
+  // The hosts of the zone were listed, and had time to answer a ping. Before, this host would take
+  // itself for the only one that may send to cold targets.
+  bool knows_zone_hosts_ = false;
   std::size_t fleet_size_ = 1;
   bool has_target_list_ = false;  // The first target list was received.
   bool stopping_ = false;         // New requests are rejected.
@@ -95,8 +144,16 @@
   Time calls_end_at_ = Time::max();
   Time accepts_long_until_ = Time::max();
   std::function<void(const TargetId&)> on_target_failed_;
+  IQuotaGate* quota_gate_ = nullptr;
+  IRolloutGate* rollout_gate_ = nullptr;
+  std::map<std::string, RolloutOrder> rollouts_;  // By service.
+  bool has_rollout_list_ = false;
 };
 
+// Returns whether keys may be accepted: the configuration in effect is proven to be recent, where
+// the deployment asks for it.
+bool HasKeyProof(const GatewayState& state, Time now);
+
 // Adds or updates a target. Ignores a record of an earlier incarnation of the same target.
 void PutTarget(GatewayState& state, const TargetRecord& record, Time now);
 void RemoveTarget(GatewayState& state, const TargetId& id);
@@ -121,7 +178,15 @@
 // Updates the in-flight count and the rate limit of the target for one more request.
 void RecordSend(GatewayState& state, TargetState& target, Time now);
 
-// Lets the oldest request that waits for a target of the service look for one soon. `freed` may be
+// Returns the waiting request that is served next, or null.
+IQueuedRequest* NextQueuedRequest(const ServiceState& service, Time now);
+// Rejects the waiting request that is served last, if `arriving` is served before it. Returns
+// whether there is room for `arriving`.
+bool MakeRoomInQueue(ServiceState& service, const WaitingRequest& arriving, Time now);
+// Returns the refusals of more urgent requests of the service by this host in the last second.
+double RefusedMoreUrgent(const ServiceState& service, int priority, Time now);
+
+// Lets the next request that waits for a target of the service look for one soon. `freed` may be
 // null; see IQueuedRequest.
 void WakeQueuedRequest(ServiceState& service, const TargetPtr& freed, Time now);
 
--- a/src/gateway/internal/store_sync.cc
+++ b/src/gateway/internal/store_sync.cc
@@ -41,10 +41,13 @@
       on_change_(std::move(on_change)),
       on_host_(std::move(on_host)),
       self_(self),
-      server_(caches_, [this] { return Now() - configuration_feed_.ConfirmedAt(); }),
+      server_(
+          caches_, [this] { return Now() - configuration_feed_.ConfirmedAt(); },
+          [this] { return ProofAge(); }),
       configuration_feed_(RecordKind::kConfiguration, MakeFeedHandler(RecordKind::kConfiguration)),
       target_feed_(RecordKind::kTarget, MakeFeedHandler(RecordKind::kTarget)),
       evacuation_feed_(RecordKind::kEvacuation, MakeFeedHandler(RecordKind::kEvacuation)),
+      rollout_feed_(RecordKind::kRollout, MakeFeedHandler(RecordKind::kRollout)),
       on_reader_(std::move(on_reader)),
       content_age_timer_(g_main_context_get_thread_default(), [this] { CheckContentAge(Now()); }),
       gate_timer_(g_main_context_get_thread_default(), [this] { RunGate(Now()); }) {}
@@ -62,7 +65,14 @@
           kind == RecordKind::kConfiguration
               ? std::function<void()>([this] { RestartTargetAndEvacuationFeeds(); })
               : nullptr,
-          [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); }};
+          [this, kind](Revision revision) { AdvanceRevision(caches_[kind], revision); },
+          [this](Era era) { return OnEra(era, source_.empty()); }};
+}
+
+std::optional<Duration> StoreSync::ProofAge() const {
+  const Time proved_at = state_.configuration_proved_at_;
+  if (proved_at == Time{}) return std::nullopt;
+  return Now() - proved_at;
 }
 
 void StoreSync::OnTick(const ZoneReaders& zone, Time now) {
@@ -74,6 +84,7 @@
     next_host_list_ = now + (hosts_.empty() ? kSecondHostListInterval : kHostListInterval);
     ListHosts({});
   }
+  EndHolds(now);
   zone_ = zone;
   ProbeWhileFollowing(now);
   CheckContentAge(now);
@@ -131,6 +142,7 @@
 
 RecordFeed& StoreSync::Feed(RecordKind kind) {
   if (kind == RecordKind::kTarget) return target_feed_;
+  if (kind == RecordKind::kRollout) return rollout_feed_;
   return kind == RecordKind::kEvacuation ? evacuation_feed_ : configuration_feed_;
 }
 
@@ -143,11 +155,15 @@
 }
 
 void StoreSync::CompareOtherKinds(const ContentVersions& contents) {
-  for (const RecordKind kind : {RecordKind::kTarget, RecordKind::kEvacuation}) {
+  for (const RecordKind kind :
+       {RecordKind::kTarget, RecordKind::kEvacuation, RecordKind::kRollout}) {
+    if (kind == RecordKind::kRollout && !state_.settings_.bounds_.has_rollouts_) continue;
     const auto other = contents.find(kind);
     // At another revision, changes are still on their way.
     if (other == contents.end() || other->second.revision_ != caches_[kind].revision_) continue;
     if (HasContent(caches_[kind], kind, contents)) continue;
+    // A revision of another era; the watch of the kind reports that.
+    if (other->second.era_ != 0 && other->second.era_ != caches_[kind].era_) continue;
     ReportDifference(kind, other->second);
     Feed(kind).RequestList();
     Feed(kind).Restart();
@@ -167,6 +183,7 @@
 void StoreSync::RestartTargetAndEvacuationFeeds() {
   target_feed_.Restart();
   evacuation_feed_.Restart();
+  if (state_.settings_.bounds_.has_rollouts_) rollout_feed_.Restart();
 }
 
 void StoreSync::OnSnapshot(RecordKind kind, const std::vector<StoredRecord>& records,
@@ -175,6 +192,13 @@
                     {{"kind", KindName(kind)},
                      {"count", std::to_string(records.size())},
                      {"revision", std::to_string(revision)}});
+  ApplyRecords(kind, RecordsInForce(kind, records));
+  ReplaceRecords(caches_[kind], records, revision, era_.era_);
+  server_.OnRecordsChanged(kind);
+  on_change_();
+}
+
+void StoreSync::ApplyRecords(RecordKind kind, const std::vector<StoredRecord>& records) {
   std::set<std::string> present;
   for (const StoredRecord& record : records) present.insert(record.name_);
   if (kind == RecordKind::kTarget) {
@@ -187,17 +211,22 @@
     std::set<std::string> missing = state_.evacuated_zones_;
     for (const std::string& zone : present) missing.erase(zone);
     for (const std::string& zone : missing) DeleteRecord(kind, zone);
+  } else if (kind == RecordKind::kRollout) {
+    // A copy may lack an order that the operator writes again; see EndHolds.
+    if (holds_.empty()) {
+      std::erase_if(state_.rollouts_,
+                    [&](const auto& item) { return !present.contains(item.first); });
+    }
+    state_.has_rollout_list_ = true;
   }
   for (const StoredRecord& record : records) PutRecord(kind, record);
   if (kind == RecordKind::kTarget) state_.has_target_list_ = true;
-  ReplaceRecords(caches_[kind], records, revision);
-  server_.OnRecordsChanged(kind);
-  on_change_();
 }
 
 void StoreSync::OnEvents(RecordKind kind, const std::vector<StoreEvent>& events,
                          Revision revision) {
-  for (const StoreEvent& event : events) {
+  for (const StoreEvent& written : events) {
+    const StoreEvent event = EventInForce(kind, written);
     if (event.deleted_) {
       DeleteRecord(kind, event.record_.name_);
     } else {
@@ -232,6 +261,7 @@
     // A target with an unreadable registration is removed. An unreadable configuration leaves the
     // previous one in effect; it is read once more, in case only the response was spoiled.
     if (kind == RecordKind::kTarget) RemoveTarget(state_, record.name_);
+    if (kind == RecordKind::kConfiguration) is_configuration_unreadable_ = true;
     if (kind == RecordKind::kConfiguration &&
         std::exchange(unreadable_configuration_, record.revision_) != record.revision_) {
       configuration_feed_.RequestList();
@@ -239,6 +269,7 @@
     return;
   }
   if (const auto* configuration = std::get_if<Configuration>(&record.value_)) {
+    is_configuration_unreadable_ = false;
     ApplyConfiguration(*configuration);
   } else if (const auto* target = std::get_if<TargetRecord>(&record.value_)) {
     PutTarget(state_, *target, Now());
@@ -247,22 +278,32 @@
       logging::LogEvent(logging::LogLevel::kInfo, "zone_evacuated",
                         {{"name", zone->zone_}, {"revision", std::to_string(record.revision_)}});
     }
+  } else if (const auto* order = std::get_if<RolloutOrder>(&record.value_)) {
+    state_.rollouts_[order->service_] = *order;
+    state_.rollouts_[order->service_].revision_ = record.revision_;
   }
 }
 
 void StoreSync::DeleteRecord(RecordKind kind, const std::string& name) {
   if (kind == RecordKind::kEvacuation) {
     if (state_.evacuated_zones_.erase(name) > 0) {
+      AddDeparture(departures_, kind, {name, 0, EvacuatedZone{name}, {}, {}}, Now());
       logging::LogEvent(logging::LogLevel::kInfo, "zone_taken_back", {{"name", name}});
     }
     return;
   }
+  if (kind == RecordKind::kRollout) state_.rollouts_.erase(name);
   if (kind != RecordKind::kTarget) return;
   const auto found = state_.targets_.find(name);
   if (found == state_.targets_.end()) return;
   const Time now = Now();
-  const bool was_store_lost = is_lost_ || now - regained_at_ < kRemovalGrace;
-  if (!was_store_lost || found->second->record_.draining_) return RemoveTarget(state_, name);
+  // The copy from which a store was restored has registrations that expire at once.
+  const bool was_store_lost =
+      is_lost_ || now - regained_at_ < kRemovalGrace || holds_.contains(kind);
+  if (!was_store_lost || found->second->record_.draining_) {
+    AddDeparture(departures_, kind, {name, 0, found->second->record_, {}, {}}, now);
+    return RemoveTarget(state_, name);
+  }
   // The registration may have expired because the target could not renew it.
   if (found->second->remove_at_ != Time::max()) return;
   found->second->remove_at_ = std::max(now, regained_at_) + kRemovalGrace;
@@ -272,7 +313,9 @@
 void StoreSync::ApplyConfiguration(const Configuration& configuration) {
   const std::int64_t present =
       state_.configuration_ ? state_.configuration_->configuration_.version_ : -1;
-  if (configuration.version_ <= present) return;
+  if (!ReplacesConfiguration(present, configuration_era_, configuration.version_, era_.era_))
+    return;
+  configuration_era_ = era_.era_;
   auto active = std::make_shared<ActiveConfiguration>();
   active->configuration_ = configuration;
   active->routes_ = MakeRouteTable(active->configuration_);
@@ -300,6 +343,8 @@
                       {{"kind", KindName(kind)},
                        {"source", source_.empty() ? "store" : source_},
                        {"status", std::string(NameOf(kStoreStatusNames, status))}});
+    // A host of an earlier version has no roll-outs, and is a good source of the other records.
+    if (kind == RecordKind::kRollout) return;
     return OnSourceFailed(status, now);
   }
   if (source_.empty()) {
@@ -307,6 +352,10 @@
     served_at_ = now;
   }
   if (kind != RecordKind::kConfiguration) return;
+  if (!is_configuration_unreadable_) {
+    state_.configuration_proved_at_ =
+        std::max(state_.configuration_proved_at_, configuration_feed_.ProvedAt());
+  }
   if (!source_.empty() && !IsContentOld(now) && gate_.cause_ != detail::kCapacityCause &&
       !(follows_other_zone_ && reaches_store_)) {
     CloseGate(gate_);
@@ -346,6 +395,11 @@
   RestartTargetAndEvacuationFeeds();
 }
 
+void StoreSync::WriteRolloutState(const RolloutOrder& order, RolloutState state,
+                                  IRecordStore::WriteCallback callback) {
+  store_.WriteRolloutState(order, state, kWriteTimeout, std::move(callback));
+}
+
 void StoreSync::RegisterHost() {
   next_registration_ = Time::max();
   const auto done = [this](const StoreWrite& write) { OnHostRegistered(write); };
@@ -361,9 +415,17 @@
 void StoreSync::OnHostRegistered(const StoreWrite& write) {
   state_.metrics_.CountStoreCall(KindName(RecordKind::kHost),
                                  NameOf(kStoreStatusNames, write.status_));
+  // A write of an earlier era is lost, and the revision that it returned names another object.
+  if (!OnEra(write.era_, true)) {
+    if (next_registration_ == Time::max() && next_host_list_ == Time::max()) {
+      next_registration_ = Now() + kRegistrationRetryInterval;
+    }
+    return;
+  }
   switch (write.status_) {
     case StoreStatus::kOk:
       is_registered_ = true;
+      ReportRegistrationChecked(true);
       if (next_host_list_ == Time::max()) next_host_list_ = Now();
       logging::LogEvent(logging::LogLevel::kInfo, "host_registered",
                         {{"revision", std::to_string(write.revision_)}});
@@ -392,12 +454,17 @@
   is_registered_ = record.zone_ == self_.zone_ && record.front_address_ == self_.front_address_ &&
                    record.peer_address_ == self_.peer_address_ &&
                    record.control_address_ == self_.control_address_;
+  if (is_registered_) ReportRegistrationChecked(false);
 }
 
 void StoreSync::ListHosts(const std::string& after) {
   store_.List(RecordKind::kHost, after, Consistency::kStale, kWriteTimeout, [this](StorePage page) {
     state_.metrics_.CountStoreCall(KindName(RecordKind::kHost),
                                    NameOf(kStoreStatusNames, page.status_));
+    if (!OnEra(page.era_, true)) {
+      next_host_list_ = std::min(next_host_list_, Now() + kSecondHostListInterval);
+      return;
+    }
     if (page.status_ != StoreStatus::kOk) {
       next_host_list_ = Now() + kSecondHostListInterval;
       return;
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/record_exchange.h"
 #include "gateway/reader_choice.h"
 #include "gateway/record_feed.h"
+#include "gateway/store_era.h"
 #include "gateway/store_gate.h"
 
 namespace monsoonshelf::gateway {
@@ -59,6 +60,9 @@
   bool IsStoreLost() const { return is_lost_; }
   // Returns when the store last confirmed the content.
   Time ConfirmedAt() const { return configuration_feed_.ConfirmedAt(); }
+  // Writes the state of a roll-out if the order still has the revision that is known.
+  void WriteRolloutState(const RolloutOrder& order, RolloutState state,
+                         IRecordStore::WriteCallback callback);
   std::size_t KnownHostCount() const { return hosts_.size(); }
   RecordServer& Server() { return server_; }
 
@@ -118,6 +122,8 @@
   void OnOwnCallEnded(Time now) { last_own_call_ = now; }
   std::string SinceLastOwnCall(Time now) const;
   void OnSourceFailed(StoreStatus status, Time now);
+  // Returns the time since the call that proved the configuration in effect was made.
+  std::optional<Duration> ProofAge() const;
   void MarkStoreLost(StoreStatus status);
   void OnSourceConfirmed(Time now);
 
@@ -126,6 +132,22 @@
   void OnOwnHostRecord(const HostRecord& record, Revision revision);
   void ListHosts(const std::string& after);
 
+  // Applies the era of a response. Returns whether the response may be used.
+  bool OnEra(Era era, bool is_from_store);
+  void ReportIgnoredEra(Era era, Time now);
+  // Reads everything anew, and holds over what is in force, after the era has changed.
+  void BeginEra(Time now);
+  // Returns the records that are in force when the source lists these.
+  std::vector<StoredRecord> RecordsInForce(RecordKind kind,
+                                           const std::vector<StoredRecord>& records);
+  StoreEvent EventInForce(RecordKind kind, const StoreEvent& event);
+  // Lets the records of the source alone be in force after the time to hold others over.
+  void EndHolds(Time now);
+  // Reports what became of the registration of this host after a change of the era.
+  void ReportRegistrationChecked(bool is_written);
+  // Applies all records of a kind that are in force.
+  void ApplyRecords(RecordKind kind, const std::vector<StoredRecord>& records);
+
   CountedStore store_;
   const IRecordFormat& format_;
   GatewayState& state_;
@@ -137,6 +159,7 @@
   RecordFeed configuration_feed_;
   RecordFeed target_feed_;
   RecordFeed evacuation_feed_;
+  RecordFeed rollout_feed_;  // Runs only where roll-outs are enabled.
 
   OnReader on_reader_;
   ZoneReaders zone_;
@@ -153,6 +176,8 @@
   StoreGate gate_;
   bool is_reading_store_ = false;  // Watches the store, as the only or as a further reader.
   bool is_reported_reader_ = false;
+  // The latest configuration of the source could not be read, so it is not the one in effect.
+  bool is_configuration_unreadable_ = false;
   std::size_t next_seed_ = 0;
   // Changes of the source since the content was last confirmed.
   int unconfirmed_source_changes_ = 0;
@@ -182,6 +207,13 @@
   bool is_registered_ = false;
   Time next_registration_{};
   Time next_host_list_{};
+
+  EraTracker era_;
+  std::map<RecordKind, EraHold> holds_;
+  Departures departures_;
+  Era configuration_era_ = 0;             // In which the configuration in effect was applied.
+  bool is_registration_checked_ = false;  // The era has changed, and the registration may be lost.
+  Time era_ignored_reported_at_{};
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/gateway/irecord_store.h
+++ b/src/gateway/irecord_store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,11 +37,23 @@
 // old.
 enum class Consistency { kLatest, kStale };
 
+// Rises each time the store is restored from a copy, after which it reissues revisions. 0 if the
+// store, or a host of an earlier version, does not state it.
+using Era = std::int64_t;
+
+// A point in the history of the store, ordered by era and then by revision.
+struct StoreVersion {
+  Era era_ = 0;
+  Revision revision_ = 0;
+  auto operator<=>(const StoreVersion&) const = default;
+};
+
 // Identifies the content that a host holds of one kind; see RecordCache.
 using ContentDigest = std::uint64_t;
 struct ContentVersion {
   Revision revision_ = 0;
   ContentDigest digest_ = 0;
+  Era era_ = 0;
 };
 using ContentVersions = std::map<RecordKind, ContentVersion>;
 
@@ -51,10 +64,13 @@
   Revision revision_ = 0;
   // Time since the store confirmed the content; 0 unless another host passed the content on.
   Duration age_{};
+  // Time since the start of the call to the store that confirmed the content; empty if unknown.
+  std::optional<Duration> proof_age_;
   // The result of a kStale read of the store, which may lack changes of the last seconds.
   bool is_stale_ = false;
   // Content of the host that passed the page on; empty if the page comes from the store itself.
   ContentVersions contents_;
+  Era era_ = 0;  // Also of responses with other states than kOk.
 };
 
 struct StoreEvent {
@@ -65,14 +81,17 @@
 struct StoreEvents {
   StoreStatus status_ = StoreStatus::kUnreachable;
   std::vector<StoreEvent> events_;
-  Revision revision_ = 0;     // Revision to continue the watch from.
-  Duration age_{};            // As in StorePage.
-  ContentVersions contents_;  // As in StorePage.
+  Revision revision_ = 0;              // Revision to continue the watch from.
+  Duration age_{};                     // As in StorePage.
+  std::optional<Duration> proof_age_;  // As in StorePage.
+  ContentVersions contents_;           // As in StorePage.
+  Era era_ = 0;                        // As in StorePage.
 };
 
 struct StoreWrite {
   StoreStatus status_ = StoreStatus::kUnreachable;
   Revision revision_ = 0;  // Revision of the written object, or with kConflict of the existing one.
+  Era era_ = 0;            // As in StorePage.
 };
 
 // Asynchronous client of the store that holds the records. Each call, except a replaced Watch,
@@ -93,11 +112,17 @@
   // pending one, whose callback is then not called.
   virtual void Watch(RecordKind kind, Revision revision, Duration wait, Duration timeout,
                      EventsCallback callback) = 0;
+  // States the era that the revisions of the following watches belong to.
+  virtual void SetEra(Era /*era*/) {}
   // Returns kConflict if the host is already registered.
   virtual void CreateHost(const HostRecord& host, Duration timeout, WriteCallback callback) = 0;
   // Replaces the registration if its revision is `expected`; otherwise returns kConflict.
   virtual void ReplaceHost(const HostRecord& host, Revision expected, Duration timeout,
                            WriteCallback callback) = 0;
+  // Writes the state of the order if the revision of the object is that of `order`; otherwise
+  // returns kConflict.
+  virtual void WriteRolloutState(const RolloutOrder& order, RolloutState state, Duration timeout,
+                                 WriteCallback callback) = 0;
 };
 
 }  // namespace monsoonshelf::gateway
--- a/src/http/internal/server_exchange.cc
+++ b/src/http/internal/server_exchange.cc
@@ -42,12 +42,15 @@
 
 void ServerExchange::WriteChunk(std::string_view bytes) {
   if (connection_ == nullptr || state_ != State::kStreaming || bytes.empty() || is_head_) return;
+  // The handler may close the connection while bytes are written.
+  const ServerConnectionPtr connection = connection_->shared_from_this();
   if (head_written_) {
-    connection_->stream_->Write(FormatChunk(bytes));
+    connection->stream_->Write(FormatChunk(bytes));
   } else {
     held_body_.append(bytes);
-    connection_->AddHeldBytes(bytes.size());
+    connection->AddHeldBytes(bytes.size());
   }
+  connection->UpdateAccount();
 }
 
 void ServerExchange::EndChunkedResponse() {
@@ -59,7 +62,7 @@
 bool ServerExchange::Retract() {
   if (connection_ == nullptr || state_ != State::kStreaming || head_written_) return false;
   connection_->RemoveHeldBytes(held_body_.size());
-  held_body_ = {};
+  std::string().swap(held_body_);
   headers_.clear();
   status_ = 0;
   chunked_ = false;
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -23,8 +23,8 @@
   virtual void OnDataReceived() = 0;
   // Called when all buffered output has been passed to the kernel.
   virtual void OnOutputFlushed() = 0;
-  // Called once when the connection failed or the peer closed it (kClosed). No further calls
-  // follow.
+  // Called once when the connection failed (kReset), or when the peer closed it and no error
+  // occurred before in either direction (kClosed). No further calls follow.
   virtual void OnClosed(Failure failure) = 0;
 };
 
@@ -59,6 +59,10 @@
   std::size_t UnsentBytes() const { return output_.size() - output_begin_; }
   // Buffers bytes and sends as many as the socket accepts. Errors are reported later by OnClosed.
   void Write(std::string_view bytes);
+  // The same without a copy if nothing else is buffered.
+  void WriteOwned(std::string bytes);
+  // Memory that the buffers occupy.
+  std::size_t BufferBytes() const { return input_.capacity() + output_.capacity(); }
   // Reads what the kernel has received, and calls the handler as usual, without waiting for the
   // main loop.
   void ReceiveNow();
@@ -94,6 +98,7 @@
   bool reading_paused_ = false;
   bool shutdown_requested_ = false;
   bool write_closed_ = false;
+  bool send_failed_ = false;
   bool closed_ = false;
   int connect_error_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
