--- a/src/gateway/tests/mocks/mock_record_store.h
+++ b/src/gateway/tests/mocks/mock_record_store.h
@@ -151,7 +151,7 @@
   int write_calls_ = 0;
   bool loses_rollout_response_ = false;       // Of the next write of a roll-out.
   std::vector<RolloutState> rollout_writes_;  // That took effect.
-  Era era_ = 0;  // Unknown unless a test sets it.
+  Era era_ = 0;                               // Unknown unless a test sets it.
 
  private:
   struct WaitingWatch {
