--- a/src/gateway/internal/quota_control.cc
+++ b/src/gateway/internal/quota_control.cc
@@ -115,8 +115,7 @@
                   [&](const HostName& host) { return IsHeard(hosts_.at(host), now); });
   const double share = RefillShare({is_first_rank, hears_higher_rank, heard, hosts_.size()});
   if (hears_higher_rank || !is_first_rank) PingHigherRank(ranks, now);
-  const QuotaReply reply =
-      ApplyQuotaRequest(team.owned_, limit, Bounds(), share, sender, request, now);
+  QuotaReply reply = ApplyQuotaRequest(team.owned_, limit, Bounds(), share, sender, request, now);
   if (TakeQuotaNotice(team.owned_, now)) SendNotice(request.team_, now);
   return reply;
 }
--- a/src/gateway/internal/teams.cc
+++ b/src/gateway/internal/teams.cc
@@ -59,9 +59,10 @@
     teams_[i].keys_ = std::vector<KeyDigest>();
     index_by_name_.emplace(teams_[i].name_, static_cast<std::uint32_t>(i));
   }
-  std::stable_sort(
-      index_.begin(), index_.end(),
-      [](const IndexEntry& left, const IndexEntry& right) { return left.digest_ < right.digest_; });
+  std::stable_sort(index_.begin(), index_.end(),
+                   [](const IndexEntry& left, const IndexEntry& right) {
+                     return left.digest_.bytes_ < right.digest_.bytes_;
+                   });
   index_.erase(std::unique(index_.begin(), index_.end(),
                            [](const IndexEntry& left, const IndexEntry& right) {
                              return left.digest_ == right.digest_;
@@ -71,9 +72,10 @@
 }
 
 const Team* TeamTable::Find(const KeyDigest& digest) const {
-  const auto found = std::lower_bound(
-      index_.begin(), index_.end(), digest,
-      [](const IndexEntry& entry, const KeyDigest& value) { return entry.digest_ < value; });
+  const auto found = std::lower_bound(index_.begin(), index_.end(), digest,
+                                      [](const IndexEntry& entry, const KeyDigest& value) {
+                                        return entry.digest_.bytes_ < value.bytes_;
+                                      });
   if (found == index_.end() || found->digest_ != digest) return nullptr;
   return &teams_[found->team_];
 }
--- a/src/gateway/tests/key_access_test.cc
+++ b/src/gateway/tests/key_access_test.cc
@@ -193,7 +193,7 @@
     RecordFeed feed(RecordKind::kEvacuation,
                     {[](const auto& /*records*/, Revision /*revision*/) {},
                      [](const auto& /*events*/, Revision /*revision*/) {},
-                     [](StoreStatus /*status*/) {}, nullptr, nullptr, nullptr});
+                     [](StoreStatus /*status*/) {}, nullptr, nullptr, nullptr, nullptr});
     FeedSettings settings;
     settings.watch_pause_ = milliseconds(1);
     feed.ReadFrom(counted, settings);
--- a/src/gateway/tests/quota_test.cc
+++ b/src/gateway/tests/quota_test.cc
@@ -169,6 +169,7 @@
 
   void OwnersOfMuchCapacityComeFirst() {
     std::vector<QuotaHost> hosts;
+    hosts.reserve(20);
     for (int i = 0; i < 20; ++i) {
       hosts.push_back({"host" + std::to_string(i), i % 5 == 0 ? 500 : 100});
     }
--- a/src/gateway/tests/teams_test.cc
+++ b/src/gateway/tests/teams_test.cc
@@ -100,6 +100,7 @@
     std::vector<Team> teams;
     for (int team = 0; team < kTeams; ++team) {
       std::vector<std::string> keys;
+      keys.reserve(kKeysPerTeam);
       for (int key = 0; key < kKeysPerTeam; ++key) {
         keys.push_back(std::to_string(team) + "/" + std::to_string(key));
       }
--- a/src/http/internal/headers.cc
+++ b/src/http/internal/headers.cc
@@ -59,9 +59,9 @@
 
 std::size_t HeadBytes(const RequestHead& head) {
   // Short strings are stored in the string object.
-  static const std::size_t kInPlaceBytes = std::string().capacity();
+  static const std::size_t in_place_bytes = std::string().capacity();
   const auto heap_bytes = [](const std::string& text) {
-    return text.capacity() > kInPlaceBytes ? text.capacity() + 1 : 0;
+    return text.capacity() > in_place_bytes ? text.capacity() + 1 : 0;
   };
   std::size_t bytes = head.headers_.capacity() * sizeof(Headers::value_type) +
                       heap_bytes(head.method_) + heap_bytes(head.target_);
--- a/src/http/tests/message_parser_test.cc
+++ b/src/http/tests/message_parser_test.cc
@@ -122,6 +122,12 @@
     CPPUNIT_ASSERT(parser.Error() == ParseError::kMalformed);
   }
 
+  static std::string Concatenate(const std::vector<std::string>& parts) {
+    std::string text;
+    for (const std::string& part : parts) text += part;
+    return text;
+  }
+
   // Returns the verdict on a response, which must not depend on how its bytes are split.
   static ParseError VerdictOnResponse(const std::string& text) {
     ParseError verdict = ParseError::kNone;
@@ -151,7 +157,7 @@
             "X",
             "X(1): 1",
             "X: a\x01z",
-            std::string("X: a\0z", 7),
+            std::string("X: a\0z", 6),
             "X: a\rz",
             "X: a\nY: 1",
             "X: a\x7fz",
@@ -226,10 +232,11 @@
            {"HTTP/1.1 200 OK", "HTTP/1.1 599 ", "HTTP/1.0 200 \xe9t\xe9"}) {
         if (is_chunked && start.starts_with("HTTP/1.0")) continue;
         CPPUNIT_ASSERT_MESSAGE(
-            start + field, VerdictOnResponse(start + "\r\n" + field + rest) == ParseError::kNone);
+            start + field,
+            VerdictOnResponse(Concatenate({start, "\r\n", field, rest})) == ParseError::kNone);
       }
       RequestParser parser(kMaxHeaderBytes, kMaxBodyBytes);
-      parser.Feed("POST / HTTP/1.1\r\nHost: h\r\n" + field + rest);
+      parser.Feed(Concatenate({"POST / HTTP/1.1\r\nHost: h\r\n", field, rest}));
       CPPUNIT_ASSERT_MESSAGE(field, parser.IsDone());
     }
   }
