gateway: hosts without an owner stay within the overage of a quota

Change: hosts that reach no owner give out 0.03 of the rate and a quarter of the overage and the slack together; hosts ask when less than 0.6 of the bucket is left (0.35 before).

--- a/src/gateway/internal/quota.cc
+++ b/src/gateway/internal/quota.cc
@@ -18,9 +18,9 @@
 constexpr double kSpareShare = 0.6;
 // Hosts must ask when less than this share of the bucket is left: they may admit a part of it
 // before they hear of it.
-constexpr double kAskShare = 0.35;
+constexpr double kAskShare = 0.6;
 // Hosts may stop asking when this share of the bucket has been refilled above that.
-constexpr double kHysteresisShare = 0.15;
+constexpr double kHysteresisShare = 0.2;
 // Interval at which notices are repeated.
 constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
 // Tokens that a host does not use for this time are lost to the team.
@@ -41,8 +41,11 @@
 constexpr double kDoubtfulShare = 0.08;
 // A host with this share of the largest capacity is preferred as an owner.
 constexpr double kLargeCapacityShare = 0.5;
-// Share of the slack that the first requests of all hosts without an owner may use.
-constexpr double kLocalSlackShare = 0.5;
+// Part of the overage and the slack that the first requests of all hosts without an owner may use,
+// and part of the rate that they may use together after that. The owner that they can't reach may
+// give out all of the rate to the other hosts.
+constexpr double kLocalSpareShare = 0.25;
+constexpr double kLocalRateShare = 0.03;
 
 double BucketSize(const QuotaLimit& limit, const QuotaBounds& bounds) {
   return std::max(1.0, limit.burst_ + kSpareShare * bounds.slack_);
@@ -209,16 +212,15 @@
     quota.has_local_bucket_ = true;
     const double in_window =
         limit.rate_per_second_ * Seconds(bounds.window_).count() + limit.burst_;
-    const double spare = bounds.overage_ * in_window + kLocalSlackShare * bounds.slack_;
-    quota.local_tokens_ = random < spare / hosts ? 1 : 0;
+    const double spare = bounds.overage_ * in_window + bounds.slack_;
+    quota.local_tokens_ = random < kLocalSpareShare * spare / hosts ? 1 : 0;
     quota.local_updated_ = now;
   }
+  const double rate = std::max(kLocalRateShare * limit.rate_per_second_ / hosts, 1e-6);
   quota.local_tokens_ =
-      std::min(1.0, quota.local_tokens_ + limit.rate_per_second_ / hosts *
-                                              Seconds(now - quota.local_updated_).count());
+      std::min(1.0, quota.local_tokens_ + rate * Seconds(now - quota.local_updated_).count());
   quota.local_updated_ = now;
   if (quota.local_tokens_ < 1) {
-    const double rate = std::max(limit.rate_per_second_ / hosts, 0.001);
     return {QuotaAction::kUnknown,
             std::clamp(ToDuration((1 - quota.local_tokens_) / rate), kMinDenyTime, kMaxDenyTime)};
   }
