gateway: repeats count against the quota of a team

Second requests and repeats ran without a token. Change: a further send of a request that may have run needs a token, and is left out if the host gets none at once. Result: RepeatsCountAgainstTheQuota fails without the change.

--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -130,6 +130,9 @@
   bool CanRetry(Time now);
   // Plans the second request, if the first one may have one.
   void PlanHedge(Duration expected, Time now);
+  // Charges the quota of the team for a further send of a request that may have run already.
+  // Returns false if the team has nothing left at once.
+  bool ChargeRepeat(Time now);
   // Returns whether a second request may be sent now, and counts it if it is withheld.
   bool MayHedge(Time now);
   // Looks for a second target, or plans to check again.
--- a/src/gateway/internal/call_hedging.cc
+++ b/src/gateway/internal/call_hedging.cc
@@ -32,6 +32,17 @@
   hedge_at_ = now + delay;
 }
 
+// Each run of a request at a target counts against the quota of its team.
+bool Call::ChargeRepeat(Time now) {
+  const auto& teams = state_.configuration_->configuration_.teams_;
+  if (possibly_executed_sends_ == 0 || charged_team_.empty() || !teams) return true;
+  const Team* team = teams->FindByName(charged_team_);
+  if (team == nullptr) return true;
+  if (state_.quota_gate_->Admit(*team, *this, now).action_ == QuotaAction::kAdmit) return true;
+  state_.quota_gate_->Cancel(*this);
+  return false;
+}
+
 bool Call::MayHedge(Time now) {
   HedgeInputs inputs;
   inputs.max_share_ = state_.settings_.max_hedge_share_;
--- a/src/gateway/internal/call_selection.cc
+++ b/src/gateway/internal/call_selection.cc
@@ -355,11 +355,13 @@
   if (send_count_ > 0) {
     // Other requests may have used the allowance since the search began.
     const bool is_withheld = purpose_ == SendPurpose::kHedge && !MayHedge(now);
-    if (is_withheld || !ConsumeRetryToken(Service().retry_budget_, state_.settings_.bounds_,
-                                          state_.fleet_size_, now)) {
+    const FleetBounds& bounds = state_.settings_.bounds_;
+    if (is_withheld || !HasRetryToken(Service().retry_budget_, bounds, state_.fleet_size_, now) ||
+        !ChargeRepeat(now)) {
       state_.pool_.Release(connection);
       return false;
     }
+    (void)ConsumeRetryToken(Service().retry_budget_, bounds, state_.fleet_size_, now);
     state_.metrics_.CountRetry(service_, purpose_ == SendPurpose::kHedge ? "hedge" : "failure");
     logging::LogEvent(logging::LogLevel::kInfo, "request_repeated",
                       {{"call", info_.id_},
--- a/src/gateway/tests/key_access_test.cc
+++ b/src/gateway/tests/key_access_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(WithdrawnKeyIsRejected);
   CPPUNIT_TEST(KeyWithdrawnWhileARequestWaitsIsNotSent);
   CPPUNIT_TEST(TeamOverItsQuotaGets429);
+  CPPUNIT_TEST(RepeatsCountAgainstTheQuota);
   CPPUNIT_TEST(StaleProofRejectsWith503);
   CPPUNIT_TEST(DeploymentsWithoutTeamsForwardHeaders);
   CPPUNIT_TEST(OnlyStartedCallsOfTheStoreAreProofs);
@@ -151,6 +152,31 @@
     CPPUNIT_ASSERT(host_->HasMetric("quota_decisions_total", "action=\"deny\""));
   }
 
+  // Guards against repeats that run beyond the quota: on a day with a hot team and slow targets an
+  // eighth of its runs were second requests.
+  void RepeatsCountAgainstTheQuota() {
+    FakeTarget other("u", "z");
+    host_->AddTarget("u", other.listener_->LocalAddress());
+    Team limited = MakeTeam("a", "k1");
+    limited.rate_per_second_ = 100;
+    limited.burst_ = 5;
+    PutTeams({limited}, 4);
+    const Time started = Now();
+    CPPUNIT_ASSERT(host_->Start());
+    for (FakeTarget* target : {target_.get(), &other}) {
+      target->behaviour_ = FakeTarget::Behaviour::kReturnsError;
+    }
+    // Without a charge for the repeat, each of these requests runs twice for one token.
+    int failed = 0;
+    CPPUNIT_ASSERT(host_->loop_.RunUntil([&] {
+      failed += StatusWith("/safe/1", "Key: k1\r\n") == 500 ? 1 : 0;
+      return failed >= 300 || Now() - started > std::chrono::seconds(15);
+    }));
+    const double seconds = std::chrono::duration<double>(Now() - started).count();
+    // The bucket holds the burst and a part of the slack of 20.
+    CPPUNIT_ASSERT(target_->Executions() + other.Executions() <= 5 + 20 + 100 * seconds);
+  }
+
   // Guards against a host that runs requests with keys although the store has not confirmed its
   // configuration for long, and against a 401 for them.
   void StaleProofRejectsWith503() {
