gateway, http: Run the models in a test program of their own

The tests of the gateway took more than 300 s with the address sanitizer on a loaded machine and were ended. The models of hedging, quotas and roll-outs are now the program gateway_models, which also runs with the sanitizers.

The fuzz test found that a parser at the end of its input was complete without a head. This is now a malformed message.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -4,7 +4,7 @@
 # Usage: sanitize.sh BUILD_DIR JOBS
 set -euo pipefail
 base=$1 jobs=$2
-modules=(http gateway platform store peer control entry)
+modules=(http gateway gateway_models platform store peer control entry)
 # GLib keeps type data and thread pools until the process exits, which is not a leak but would be
 # reported as one.
 export ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
--- a/src/http/internal/message_parser.cc
+++ b/src/http/internal/message_parser.cc
@@ -261,6 +261,11 @@
 
 void ResponseParser::FeedEof() {
   if (parser_->is_done() || parser_->error_ != ParseError::kNone) return;
+  // put_eof() treats a message without a head as complete.
+  if (!parser_->has_head_) {
+    parser_->error_ = ParseError::kMalformed;
+    return;
+  }
   beast::error_code code;
   parser_->put_eof(code);
   if (code) parser_->SetError(code);
