gateway: Add one travel time to both ages of a peer's response

The clock was read twice, so that the age of the proof and that of the content could grow by different times. DelayAddsToTheContentAge failed for this reason with the address sanitizer. The clock is now read once.

--- a/src/gateway/internal/record_exchange.cc
+++ b/src/gateway/internal/record_exchange.cc
@@ -199,11 +199,14 @@
     // A response can be on its way for long, if the other host is slow or a link is full. Hosts of
     // an earlier version do not state how long the request waited.
     const auto held = DurationHeader(result.headers_, kHeldHeader);
-    if (held) events.age_ += std::max(Now() - sent_at - *held, Duration{});
+    // The clock is read once, so that both ages grow by the same time.
+    const Duration travel_time =
+        held ? std::max(Duration(Now() - sent_at - *held), Duration{}) : Duration{};
+    events.age_ += travel_time;
     // A proof without a travel time could be older than it says.
     const auto proof_age = DurationHeader(result.headers_, kProofAgeHeader);
     if (proof_age && *proof_age >= Duration{} && held) {
-      events.proof_age_ = *proof_age + std::max(Now() - sent_at - *held, Duration{});
+      events.proof_age_ = *proof_age + travel_time;
     }
   } else if (result.status_ != 0) {
     events.status_ = StoreStatus::kRefused;
