--- a/src/gateway/internal/record_feed.cc
+++ b/src/gateway/internal/record_feed.cc
@@ -117,7 +117,7 @@
   // Followers get the changes with the age of this response, so a list of the store confirms them
   // before they are passed on.
   const bool confirms = !page.is_stale_;
-  // Later pages do not show what changed in the earlier ones meanwhile.
+  // Later pages do not show changes to records on earlier pages.
   if (page.proof_age_) {
     page.proof_age_ = std::max(*page.proof_age_, Duration(Now() - list_started_at_));
   }
--- a/src/gateway/internal/rollout.cc
+++ b/src/gateway/internal/rollout.cc
@@ -75,7 +75,7 @@
   return later - std::min(later, earlier);
 }
 
-// A host that began anew reports less than before.
+// A restarted host reports lower counts than before.
 ResponseCounts Difference(const ResponseCounts& later, const ResponseCounts& earlier) {
   ResponseCounts result;
   result.requests_ = Less(later.requests_, earlier.requests_);
--- a/src/gateway/internal/store_sync.h
+++ b/src/gateway/internal/store_sync.h
@@ -135,7 +135,7 @@
   // Applies the era of a response. Returns whether the response may be used.
   bool OnEra(Era era, bool is_from_store);
   void ReportIgnoredEra(Era era, Time now);
-  // Reads everything anew, and holds over what is in force, after the era has changed.
+  // After a change of the era, lists all records again and keeps those in force for a while.
   void BeginEra(Time now);
   // Returns the records that are in force when the source lists these.
   std::vector<StoredRecord> RecordsInForce(RecordKind kind,
--- a/src/gateway/record_cache.h
+++ b/src/gateway/record_cache.h
@@ -32,7 +32,7 @@
 // Returns whether the cache has the content that a response of another host describes. A response
 // of the store, or of a host of an earlier version, describes none.
 bool HasContent(const RecordCache& cache, RecordKind kind, const ContentVersions& contents);
-// Replaces the content. Only the differences are added to the history, which begins anew with
+// Replaces the content. Only the differences are added to the history, which restarts with
 // another era. An era of 0 leaves the present one.
 void ReplaceRecords(RecordCache& cache, const std::vector<StoredRecord>& records, Revision revision,
                     Era era = 0);
--- a/src/gateway/record_feed.h
+++ b/src/gateway/record_feed.h
@@ -76,7 +76,7 @@
   void Restart();
   // Lists the latest records instead of starting the next watch. May be called by the handler.
   void RequestList();
-  // The revisions of the store begin anew: abandons pending calls and lists the latest records,
+  // The revisions of the store restart: abandons pending calls and lists the latest records,
   // unless the feed is paused.
   void BeginEra();
   // Returns whether all records were listed at least once.
--- a/src/gateway/rollout.h
+++ b/src/gateway/rollout.h
@@ -77,7 +77,7 @@
 // Counts of all hosts at a deciding host.
 struct RolloutTally {
   struct Host {
-    std::uint64_t epoch_ = 0;  // Rises when the host begins to count anew.
+    std::uint64_t epoch_ = 0;  // Increases when the host resets its counters.
     RolloutCounts counts_;
     RolloutNotice notice_ = RolloutNotice::kGoOn;
     Time heard_at_{};
